--- /dev/null
+++ b/src/test/java/junctionhead/LibraryTest.java
@@ -0,0 +1,139 @@
+package junctionhead;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.lang.reflect.Field;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import junctionhead.Policy.Effect;
+import junctionhead.Policy.ListKind;
+import junctionhead.Policy.Outcome;
+import junctionhead.Policy.RequestClass;
+import junctionhead.Policy.Scope;
+import junctionhead.Policy.Server;
+import junctionhead.Policy.State;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What users of the library rely on. */
+class LibraryTest {
+    private static final RequestClass SAFE = Harness.kind(Effect.SAFE, Scope.ALL);
+
+    @Test
+    void theExampleOfTheReadmeRuns() throws IOException {
+        String readme = Files.readString(Path.of("README.md"));
+        String example = Files.readString(Path.of("src/test/java/junctionhead/Example.java"));
+        int from = readme.indexOf("```java\n") + 8;
+        String shown = readme.substring(from, readme.indexOf("```\n", from));
+        assertTrue(example.contains(shown.strip()), "the README shows the code of Example.java");
+        assertEquals(List.of("send r1 to a:80"), Example.run());
+    }
+
+    @Test
+    void impossibleSettingsAreNamed() {
+        assertEquals("impossible aim: 0", assertThrows(IllegalArgumentException.class,
+            () -> new RequestClass(Effect.SAFE, Scope.ALL, 0, 0, 1, 0, 1, 0, false)).getMessage());
+        assertEquals("impossible coldFrom: 0.0", assertThrows(IllegalArgumentException.class,
+            () -> new Policy.Bounds(1, 1, 1, 0, 1, 2, 1, 0)).getMessage());
+        assertEquals("impossible maxAttempts: 0", assertThrows(IllegalArgumentException.class,
+            () -> new Policy.Limits(0, true, true, true, 1, 0)).getMessage());
+        assertEquals("impossible classes: none", assertThrows(IllegalArgumentException.class,
+            () -> Harness.settings()).getMessage());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 0, impossible balancers: 0", "2, 2, impossible rank: 2", "2, -1, impossible rank: -1"})
+    void impossibleNumbersOfBalancersAreNamed(int balancers, int rank, String complaint) {
+        Policy.Settings s = Harness.settings(SAFE);
+        assertEquals(complaint, assertThrows(IllegalArgumentException.class,
+            () -> new Policy.Settings(balancers, rank, 0, s.classes(), List.of(), 1, s.goal(), s.prices(),
+                false,
+                s.discovery(), s.reports(), false, s.limits(), s.bounds(), 1_000)).getMessage());
+    }
+
+    /** Settings unlike any deployment: sensible behaviour, every request answered. */
+    @ParameterizedTest
+    @CsvSource({
+        // servers, balancers, aim, deadline, attempts, copies, rate a second, latency
+        "1, 1, 600000, 1200000, 3, true, 20, 20000",
+        "60, 12, 600000, 1200000, 3, true, 200, 40000",
+        "5, 2, 4000, 10000, 3, true, 500, 1000",
+        "8, 3, 20000000, 60000000, 3, false, 8, 2000000",
+        "6, 1, 600000, 1200000, 1, false, 50, 30000",
+    })
+    void oddSettingsAreServed(int servers, int balancers, long aim, long deadline, int attempts,
+            boolean copies, int rate, long latency) {
+        for (Effect effect : Effect.values()) {
+            RequestClass kind = new RequestClass(effect, Scope.CELL, deadline, aim, deadline, 0, 1, 0, false);
+            Policy.Settings base =
+                Harness.settings(balancers, copies, Policy.Discovery.PUSH, List.of(), kind);
+            Harness harness = new Harness(new Policy.Settings(balancers, 0, 0, base.classes(), List.of(), 1,
+                base.goal(), base.prices(), false, base.discovery(), Policy.Reports.NONE, false,
+                new Policy.Limits(attempts, copies, false, false, 1000, 0), base.bounds(), 1_000), 9);
+            harness.list(ListKind.PERSISTED, Harness.fleet(servers));
+            for (int i = 0; i < 400; i++) {
+                harness.request("r" + i, 0, 0, deadline);
+                harness.pass(1_000_000 / rate);
+                harness.sends.stream().filter(s -> !s.ended && harness.now - s.at >= latency).toList()
+                    .forEach(s -> harness.end(s, Outcome.OK));
+            }
+            harness.pass(deadline);
+            harness.sends.stream().filter(s -> !s.ended).toList()
+                .forEach(s -> harness.end(s, Outcome.TIMEOUT));
+            harness.pass(deadline);
+            assertEquals(400, harness.finals.size());
+            assertEquals(0, harness.doubleFinals);
+            long ok = harness.finals.values().stream().filter("ok"::equals).count();
+            assertTrue(ok >= 360, "served " + ok + " of 400, " + effect);
+        }
+    }
+
+    @Test
+    void memoryDoesNotGrowWithTime() throws ReflectiveOperationException {
+        Harness harness = new Harness(Harness.settings(SAFE), 1).list(ListKind.PERSISTED, Harness.fleet(4));
+        for (int i = 0; i < 30_000; i++) {
+            Harness.Sent sent = harness.request("r" + i, 0);
+            harness.pass(5_000);
+            harness.sends.stream().filter(s -> !s.ended).toList()
+                .forEach(s -> harness.end(s, s.number % 7 == 6 ? Outcome.ERROR : Outcome.OK));
+            if (i % 50 == 0) {                  // machines come and go under new names
+                harness.list(ListKind.COMPLETE,
+                    List.of(Harness.up("a" + i), Harness.up("b" + i), Harness.up("c")));
+                harness.sends.clear();
+                harness.attempts.clear();
+                harness.finals.clear();
+                harness.log.clear();
+            }
+            assertTrue(sent == null || sent.ended);
+        }
+        harness.list(ListKind.COMPLETE, List.of(new Server("c", State.UP, 0, 1, 0, 0, 0)));
+        assertEquals(0, size(harness.policy, "open"));
+        assertTrue(size(harness.policy, "nodes") <= 1);
+    }
+
+    @Test
+    void theOnCallPageQuotesLogLinesThatTheModuleWrites() throws IOException {
+        String rules = Files.readString(Path.of("src/main/java/junctionhead/Balance.java"));
+        String page = Files.readString(Path.of("docs/on-call.md"));
+        for (String line : List.of("overload: refusing, level ", "ejected ", " ms after failures",
+                "recovered ", "discovery failed ", " times, asking again")) {
+            assertTrue(rules.contains(line),
+                "the module writes: " + line);
+            assertTrue(page.contains(line), "the page names: " + line);
+        }
+    }
+
+    private static int size(Object policy, String field) throws ReflectiveOperationException {
+        Field f = policy.getClass().getDeclaredField(field);
+        f.setAccessible(true);
+        Object value = f.get(policy);
+        return value instanceof Map ? ((Map<?, ?>) value).size() : ((Collection<?>) value).size();
+    }
+}
