A real balancer round the decision module

One program on real sockets (Netty, one event loop): Node, Dispatcher, ClientServer, Upstreams, Discovery. The settings reader is split out of WireSettings, so that the wire and the configuration share it.

--- a/src/main/java/junctionhead/Adapter.java
+++ b/src/main/java/junctionhead/Adapter.java
@@ -13,8 +13,6 @@
 /** Hosts many instances of the module and translates between them and the wire. It decides nothing. */
 final class Adapter {
     private static final int BUFFERS = 16;
-    private static final List<String> LOAD_FIELDS =
-        List.of("outstanding", "backlog", "utilization", "recent_ms", "throughput", "errors_per_s");
     private static final String WAKE = "wake";
 
     /** Makes the module of a new instance. */
@@ -22,7 +20,7 @@
         Policy make(Policy.Settings settings, long seed);
     }
 
-    private record Instance(String name, Policy policy, WireSettings.Boot boot) { }
+    private record Instance(String name, Policy policy, SettingsReader.Boot boot) { }
 
     private final Factory factory;
     private final BufferedReader in;
@@ -86,7 +84,7 @@
                 case "ENLIST" -> {
                     frame.text(1, "InitSeed");
                     long seed = frame.number(1, "InitSeed");
-                    WireSettings.Boot boot = WireSettings.read(frame, 2);
+                    SettingsReader.Boot boot = WireSettings.read(frame, 2);
                     String name = named(frame, at);
                     reply.instance(name);
                     instances.put(name, new Instance(name, factory.make(boot.settings(), seed), boot));
@@ -223,14 +221,14 @@
         if (values.length < names.size()) {
             throw f.bad("Usage", names.size() + " values expected, " + values.length + " found");
         }
-        double[] known = {Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN};
+        double[] known = LoadReport.unknown();
         for (int i = 0; i < names.size(); i++) {
-            int slot = LOAD_FIELDS.indexOf(names.get(i));
+            int slot = LoadReport.slot(names.get(i));
             if (slot >= 0 && !values[i].equals("-")) {
                 known[slot] = f.decimal(values[i], "Usage");
             }
         }
-        return new Policy.Load(known[0], known[1], known[2], known[3] * 1000, known[4], known[5]);
+        return LoadReport.of(known);
     }
 
     private static String clean(String text) {
--- /dev/null
+++ b/src/main/java/junctionhead/LoadReport.java
@@ -0,0 +1,56 @@
+package junctionhead;
+
+import java.util.Arrays;
+import java.util.List;
+
+/** The values of a server's load report, under the names of the wire and of the protocol on sockets. */
+public final class LoadReport {
+    private static final List<String> WIRE =
+        List.of("outstanding", "backlog", "utilization", "recent_ms", "throughput", "errors_per_s");
+    private static final List<String> SOCKET =
+        List.of("inflight", "queue", "util", "latency_ms", "qps", "eps");
+
+    private LoadReport() { }
+
+    static double[] unknown() {
+        double[] values = new double[WIRE.size()];
+        Arrays.fill(values, Double.NaN);
+        return values;
+    }
+
+    /** The place of a value, or -1 for a name that means nothing here. */
+    static int slot(String name) {
+        int slot = WIRE.indexOf(name);
+        return slot >= 0 ? slot : SOCKET.indexOf(name);
+    }
+
+    static Policy.Load of(double[] values) {
+        return new Policy.Load(values[0], values[1], values[2], values[3] * 1000, values[4], values[5]);
+    }
+
+    /**
+     * Reads a report like {@code TEXT inflight=7, queue=2}. What can't be read is passed over.
+     *
+     * @return null where there is no report, or none of its values is known
+     */
+    public static Policy.Load parse(String text) {
+        if (text == null) {
+            return null;
+        }
+        double[] values = unknown();
+        boolean any = false;
+        for (String pair : text.strip().replaceFirst("^TEXT\\s+", "").split(",")) {
+            int at = pair.indexOf('=');
+            int slot = at < 0 ? -1 : slot(pair.substring(0, at).strip());
+            if (slot >= 0) {
+                try {
+                    values[slot] = Double.parseDouble(pair.substring(at + 1).strip());
+                    any = true;
+                } catch (NumberFormatException e) {
+                    continue;       // one odd value does not spoil the others
+                }
+            }
+        }
+        return any ? of(values) : null;
+    }
+}
--- a/src/main/java/junctionhead/Main.java
+++ b/src/main/java/junctionhead/Main.java
@@ -9,14 +9,18 @@
 import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import junctionhead.net.Node;
 
-/** Starts the adapter on standard input and output. */
+/** Starts a real balancer, or the adapter on standard input and output. */
 public final class Main {
     private Main() { }
 
     public static void main(String[] args) {
+        if (args.length == 1 && args[0].equals("serve")) {
+            System.exit(Node.serve(System.getenv()));
+        }
         if (args.length != 1 || !args[0].equals("wirehost")) {
-            System.err.println("usage: java -jar junctionhead.jar wirehost");
+            System.err.println("usage: java -jar junctionhead.jar serve | wirehost");
             System.exit(2);
         }
         try (BufferedReader in = new BufferedReader(new InputStreamReader(
--- /dev/null
+++ b/src/main/java/junctionhead/net/Config.java
@@ -0,0 +1,159 @@
+package junctionhead.net;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.stream.Collectors;
+import junctionhead.SettingsReader;
+
+/** What a balancer is told at its start, by its environment and its configuration file. */
+record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+        Targets known, SettingsReader.Boot boot) {
+    private static final Path LIMITS = Path.of("/proc/self/limits");
+    private static final int SOCKETS = 1024;        // assumed where neither file nor system tells
+
+    /** What is wrong with the configuration, in one line. */
+    static final class Bad extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        Bad(String message) {
+            super(message);
+        }
+    }
+
+    /** Reads the file that {@code ROUTER_CONFIG} names; the other variables win over what it says. */
+    static Config read(Map<String, String> environment) {
+        String file = environment.get("ROUTER_CONFIG");
+        if (file == null || file.isBlank()) {
+            throw new Bad("ROUTER_CONFIG is not set");
+        }
+        Map<String, Object> json;
+        try {
+            json = JSON.std.mapFrom(Files.readString(Path.of(file)));
+        } catch (IOException | UncheckedIOException | IllegalArgumentException e) {
+            throw new Bad("can't read the configuration " + file + ": "
+                + String.valueOf(e.getMessage()).lines().findFirst().orElse("") + " ("
+                + e.getClass().getSimpleName() + ")");
+        }
+        return of(environment, json == null ? Map.of() : json);
+    }
+
+    static Config of(Map<String, String> environment, Map<String, Object> json) {
+        String name = told(environment, "ROUTER_NAME", json, "name");
+        InetSocketAddress listen = address("listen", told(environment, "ROUTER_LISTEN", json, "listen"));
+        InetSocketAddress discovery =
+            address("discovery", told(environment, "ROUTER_DISCOVERY", json, "discovery"));
+        Object settings = json.get("settings");
+        if (!(settings instanceof Map)) {
+            throw new Bad("the configuration has no settings");
+        }
+        Map<String, String> values = new HashMap<>();
+        flatten("", settings, values);
+        SettingsReader.Boot boot =
+            SettingsReader.read(values, (path, what) -> new Bad("settings: " + path + ": " + what));
+        Targets known = new Targets(0, true, List.of());
+        if (json.get("known") != null) {
+            try {
+                known = Targets.of(json.get("known"), boot);
+            } catch (IllegalArgumentException e) {
+                throw new Bad("known: " + e.getMessage());
+            }
+        }
+        Object limits = json.get("limits");
+        Object sockets = limits instanceof Map ? ((Map<?, ?>) limits).get("sockets") : null;
+        int told = sockets instanceof Number ? ((Number) sockets).intValue() : Integer.MAX_VALUE;
+        int most = Math.min(told, descriptors());
+        return new Config(name, listen, discovery, seed(json.get("seed")),
+            most == Integer.MAX_VALUE ? SOCKETS : most, known, boot);
+    }
+
+    private static String told(Map<String, String> environment, String variable, Map<String, Object> json,
+            String field) {
+        String value = environment.get(variable);
+        Object other = json.get(field);
+        if (value != null && !value.isBlank()) {
+            return value;
+        }
+        if (other instanceof String && !((String) other).isBlank()) {
+            return (String) other;
+        }
+        throw new Bad(variable + " is not set, and the configuration has no " + field);
+    }
+
+    private static InetSocketAddress address(String what, String text) {
+        try {
+            return Targets.address(text);
+        } catch (IllegalArgumentException e) {
+            throw new Bad(what + ": " + e.getMessage());
+        }
+    }
+
+    private static long seed(Object value) {
+        if (value instanceof Number) {
+            return ((Number) value).longValue();
+        }
+        try {
+            return Long.parseUnsignedLong(String.valueOf(value), 16);
+        } catch (NumberFormatException e) {
+            throw new Bad("seed: not hexadecimal: '" + value + "'");
+        }
+    }
+
+    /** An address literal: there is no DNS here, and a name must not make the start wait for one. */
+    static InetSocketAddress literal(String host, int port) {
+        if (!host.matches("[0-9.]+|\\[?[0-9a-fA-F:.]*:[0-9a-fA-F:.]*]?")) {
+            throw new IllegalArgumentException("not an address: '" + host + "'");
+        }
+        try {
+            return new InetSocketAddress(InetAddress.getByName(host), port);
+        } catch (UnknownHostException e) {
+            throw new IllegalArgumentException("not an address: '" + host + "'");
+        }
+    }
+
+    /** The names of the simulator's wire: paths joined by dots, lists of plain values by commas. */
+    static void flatten(String path, Object value, Map<String, String> into) {
+        if (value instanceof Map<?, ?> map) {
+            map.forEach((k, v) -> flatten(path.isEmpty() ? k.toString() : path + "." + k, v, into));
+        } else if (value instanceof List<?> list) {
+            if (list.stream().anyMatch(Map.class::isInstance)) {
+                into.put(path + ".count", Integer.toString(list.size()));
+                for (int i = 0; i < list.size(); i++) {
+                    flatten(path + "." + i, list.get(i), into);
+                }
+            } else {
+                into.put(path, list.stream().map(Config::plain).collect(Collectors.joining(",")));
+            }
+        } else if (value != null) {
+            into.put(path, plain(value));
+        }
+    }
+
+    /** A value as it stands on the wire, where spaces and commas within values are replaced. */
+    static String plain(Object value) {
+        return String.valueOf(value).replace(' ', '_').replace(',', '_');
+    }
+
+    /** The soft limit on descriptors, read without the management classes: they make a start longer. */
+    private static int descriptors() {
+        try {
+            for (String line : Files.readAllLines(LIMITS)) {
+                if (line.toLowerCase(Locale.ROOT).startsWith("max open files")) {
+                    return (int) Math.min(Integer.MAX_VALUE, Long.parseLong(line.trim().split("\\s+")[3]));
+                }
+            }
+        } catch (IOException | NumberFormatException e) {
+            return Integer.MAX_VALUE;       // unlimited, or not this kind of system
+        }
+        return Integer.MAX_VALUE;
+    }
+}
--- /dev/null
+++ b/src/main/java/junctionhead/net/Discovery.java
@@ -0,0 +1,233 @@
+package junctionhead.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.handler.codec.MessageToMessageDecoder;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import junctionhead.Policy;
+import junctionhead.Policy.ListKind;
+import junctionhead.SettingsReader;
+
+/**
+ * Asks discovery for the list and watches its changes: where discovery is asked, only as the module wishes;
+ * where lists are pushed, always.
+ */
+final class Discovery {
+    private static final int LINE_MOST = 4 << 20;
+    private static final int CONNECT_MS = 2_000;
+    private static final long SILENCE_MS = 7_000;   // a watch holds a line every 2 s: three are missing
+    private static final long AGAIN_MS = 500;       // after a failure, where lists are pushed
+
+    private final EventLoop loop;
+    private final InetSocketAddress address;
+    private final SettingsReader.Boot boot;
+    private final BiConsumer<ListKind, Targets> news;
+    private final Consumer<String> log;
+    private final boolean pushed;
+    private long rev;
+    private Call watch;
+
+    /** {@code news} gets each list and change; FAILED and null where a call or the watch has failed. */
+    Discovery(EventLoop loop, InetSocketAddress address, SettingsReader.Boot boot, long rev,
+            BiConsumer<ListKind, Targets> news, Consumer<String> log) {
+        this.loop = loop;
+        this.address = address;
+        this.boot = boot;
+        this.rev = rev;
+        this.news = news;
+        this.log = log;
+        this.pushed = boot.settings().discovery() == Policy.Discovery.PUSH;
+    }
+
+    /** Begins to watch unasked where lists are pushed. */
+    void start() {
+        if (pushed) {
+            watch(true);
+        }
+    }
+
+    /** Subscribes to changes, in place of an earlier subscription, or ends it. */
+    void watch(boolean on) {
+        Call earlier = watch;
+        watch = on ? new Call("/api/targets?watch=1&from=" + rev, true) : null;
+        if (earlier != null) {
+            earlier.over = true;
+            earlier.channel.close();
+        }
+        if (on) {
+            watch.open();
+        }
+    }
+
+    /** Asks for the whole list once. */
+    void fetch() {
+        new Call("/api/targets", false).open();
+    }
+
+    /** A call under way; the answer of a watch goes on until its connection ends. */
+    private final class Call extends SimpleChannelInboundHandler<ByteBuf> {
+        private final String uri;
+        private final boolean watching;
+        private Channel channel;
+        private Future<?> silence;
+        private boolean answered;                   // the module has had what its call was for
+        private boolean over;
+
+        Call(String uri, boolean watching) {
+            this.uri = uri;
+            this.watching = watching;
+        }
+
+        void open() {
+            heard();
+            ChannelFuture connected = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        ch.pipeline().addLast(new HttpClientCodec(), new Bodies(Call.this),
+                            new LineBasedFrameDecoder(LINE_MOST), Call.this);
+                    }
+                }).connect(address);
+            channel = connected.channel();
+            channel.closeFuture().addListener(closed -> ended());
+            connected.addListener(done -> {
+                if (done.isSuccess()) {
+                    DefaultFullHttpRequest ask =
+                        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
+                    ask.headers().set(HttpHeaderNames.HOST,
+                        address.getAddress().getHostAddress() + ":" + address.getPort());
+                    channel.writeAndFlush(ask);
+                } else {
+                    ended();
+                }
+            });
+        }
+
+        // Guards against a discovery that is cut off: its connection stays open and silent.
+        private void heard() {
+            if (silence != null) {
+                silence.cancel(false);
+            }
+            silence = loop.schedule(() -> {
+                if (channel != null) {
+                    channel.close();
+                }
+                ended();
+            }, SILENCE_MS, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf line) {
+            String text = line.toString(StandardCharsets.UTF_8).strip();
+            if (over) {
+                return;
+            }
+            heard();
+            Targets targets;
+            if (text.isEmpty()) {
+                if (answered || !watching) {
+                    return;                         // nothing has changed
+                }
+                targets = new Targets(rev, false, List.of());
+            } else {
+                try {
+                    targets = Targets.parse(text, boot);
+                } catch (IllegalArgumentException e) {
+                    // A change may be lost with it: the next watch, from the last good version, brings it.
+                    log.accept("discovery sent a list that can't be read: " + e.getMessage());
+                    channel.close();
+                    ended();
+                    return;
+                }
+            }
+            rev = targets.rev();
+            answered = true;
+            news.accept(targets.all() ? ListKind.COMPLETE : ListKind.PARTIAL, targets);
+            if (!watching) {
+                over = true;
+                channel.close();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            channel.close();
+        }
+
+        private void ended() {
+            silence.cancel(false);
+            if (over) {
+                return;
+            }
+            over = true;
+            if (watch == this) {
+                watch = null;
+            }
+            if (!pushed) {
+                news.accept(ListKind.FAILED, null);
+            } else if (watching) {
+                loop.schedule(() -> {
+                    if (watch == null) {
+                        watch(true);
+                    }
+                }, AGAIN_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+    }
+
+    /** Passes the body of a 200 answer on, and ends the call for any other. */
+    private static final class Bodies extends MessageToMessageDecoder<HttpObject> {
+        private final Call call;
+
+        Bodies(Call call) {
+            this.call = call;
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext context, HttpObject part, List<Object> out) {
+            if (part instanceof HttpResponse answer
+                    && (answer.status().code() != 200 || !answer.decoderResult().isSuccess())) {
+                context.close();
+                return;
+            }
+            if (part instanceof HttpContent content && context.channel().isActive()) {
+                if (content.content().isReadable()) {
+                    out.add(content.content().retain());
+                }
+                if (part instanceof LastHttpContent) {
+                    if (!call.watching) {           // the list may end without a line end
+                        out.add(context.alloc().buffer(1).writeByte('\n'));
+                    } else {
+                        context.close();
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/junctionhead/net/Node.java
@@ -0,0 +1,111 @@
+package junctionhead.net;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+import junctionhead.Balance;
+import junctionhead.Policy;
+
+/** One real balancer: its start, its readiness and its orderly stop. */
+public final class Node {
+    private static final long LINGER_MS = 600;      // after SIGTERM: clients go on coming for a while
+    private static final long FLUSH_MS = 20;        // for the last answers to leave
+
+    private final Consumer<String> log;
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final EventLoop loop = group.next();
+    private final Dispatcher dispatcher;
+    private final Upstreams upstreams;
+    private final Discovery discovery;
+    private final ClientServer clients;
+    private final Config config;
+    private final CountDownLatch stopped = new CountDownLatch(1);
+    private boolean stopping;
+
+    Node(Config config, BiFunction<Policy.Settings, Long, Policy> module, Consumer<String> log) {
+        this.config = config;
+        this.log = log;
+        Descriptors descriptors = new Descriptors(config.sockets());
+        Policy policy = module.apply(config.boot().settings(), config.seed());
+        dispatcher = new Dispatcher(loop, config.boot(), policy, log);
+        upstreams = new Upstreams(loop, config.boot(), descriptors, dispatcher::now);
+        discovery = new Discovery(loop, config.discovery(), config.boot(), config.known().rev(),
+            this::listed, log);
+        clients = new ClientServer(loop, config.boot(), dispatcher, descriptors, upstreams::shedIdle);
+        dispatcher.attach(upstreams, discovery);
+    }
+
+    /** Runs a balancer until it is told to stop; returns only if it can't start. */
+    public static int serve(Map<String, String> environment) {
+        Consumer<String> log = line -> System.err.println("junctionhead: " + line);
+        Node node;
+        try {
+            node = new Node(Config.read(environment), Balance::new, log);
+        } catch (Config.Bad e) {
+            log.accept(e.getMessage());
+            return 1;
+        }
+        try {
+            node.start();
+        } catch (Exception e) {     // sync() rethrows what bind failed with, whatever its type
+            log.accept("can't listen on " + node.config.listen() + ": " + e.getMessage());
+            return 1;
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            node.stop();
+            // Without this the exit code would tell of the signal, not of the orderly end.
+            Runtime.getRuntime().halt(0);
+        }));
+        node.await();
+        return 0;
+    }
+
+    /** Listens and begins to work; returns the address in use. */
+    InetSocketAddress start() throws IOException {
+        InetSocketAddress at = clients.listen(config.listen());
+        loop.execute(() -> {
+            listed(Policy.ListKind.PERSISTED, config.known());
+            discovery.start();
+        });
+        return at;
+    }
+
+    // Ready once an upstream may be sent to: what was known from before will do until discovery answers.
+    private void listed(Policy.ListKind kind, Targets targets) {
+        dispatcher.listed(kind, targets);
+        boolean usable = kind == Policy.ListKind.COMPLETE || targets != null
+            && targets.list().stream().anyMatch(t -> t.server().state() == Policy.State.UP);
+        if (usable && !stopping) {
+            clients.ready(true);
+        }
+    }
+
+    /** Ends in order, as after SIGTERM, and returns when all that was taken has been answered. */
+    void stop() {
+        loop.execute(() -> {
+            stopping = true;
+            clients.stopping();
+        });
+        loop.schedule(() -> {
+            clients.close();
+            dispatcher.whenIdle(() -> loop.schedule(stopped::countDown, FLUSH_MS, TimeUnit.MILLISECONDS));
+        }, LINGER_MS, TimeUnit.MILLISECONDS);
+        await();
+        log.accept("stopped: " + dispatcher.summary());
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private void await() {
+        try {
+            stopped.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/junctionhead/net/Upstreams.java
@@ -0,0 +1,399 @@
+package junctionhead.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import junctionhead.LoadReport;
+import junctionhead.Policy;
+import junctionhead.Policy.Outcome;
+import junctionhead.SettingsReader;
+
+/** The connections to the upstreams, one request at a time on each, and what becomes of each request. */
+final class Upstreams {
+    static final int BODY_MOST = 64 * 1024;
+    private static final double IDLE_SHARE = 0.5;   // of the time after which upstreams close an idle one
+    private static final long DRAIN_MARGIN = 50_000; // µs before the grace is over: the clock is not shared
+    private static final int CONNECT_MS = 1_000;    // where the settings give no limit
+
+    /** How a request to an upstream ended; {@code answer} is null but for OK, and the caller's to release. */
+    interface Listener {
+        void ended(Outcome outcome, FullHttpResponse answer, Policy.Load load);
+    }
+
+    private static final class Upstream {
+        final String id;
+        InetSocketAddress endpoint;
+        long stopAt = Long.MAX_VALUE;               // when the grace of its drain is over
+        final ArrayDeque<Connection> idle = new ArrayDeque<>();     // the most recently used last
+
+        Upstream(String id) {
+            this.id = id;
+        }
+    }
+
+    private final EventLoop loop;
+    private final SettingsReader.Boot boot;
+    private final Descriptors descriptors;
+    private final LongSupplier clock;
+    private final Bootstrap bootstrap;
+    private final long idleMost;
+    private final Map<String, Upstream> upstreams = new HashMap<>();
+
+    Upstreams(EventLoop loop, SettingsReader.Boot boot, Descriptors descriptors,
+            LongSupplier clock) {
+        this.loop = loop;
+        this.boot = boot;
+        this.descriptors = descriptors;
+        this.clock = clock;
+        this.idleMost = boot.idleClose() > 0 ? (long) (boot.idleClose() * IDLE_SHARE) : Long.MAX_VALUE;
+        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis());
+        if (idleMost < Long.MAX_VALUE) {
+            long every = Math.max(10_000, Math.min(1_000_000, idleMost / 10));
+            loop.scheduleWithFixedDelay(this::closeOld, every, every, TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private int connectMillis() {
+        long limit = boot.settings().limits().connectTimeout();
+        return limit > 0 ? (int) Math.max(1, Math.min(Integer.MAX_VALUE, limit / 1000)) : CONNECT_MS;
+    }
+
+    // ---------------------------------------------------------------- the list
+
+    void listed(Targets targets, long now) {
+        Set<String> named = new HashSet<>();
+        for (Targets.Target t : targets.list()) {
+            named.add(t.server().id());
+            Upstream u = upstreams.computeIfAbsent(t.server().id(), Upstream::new);
+            if (t.endpoint() != null && !t.endpoint().equals(u.endpoint)) {
+                closeIdle(u);
+                u.endpoint = t.endpoint();
+            }
+            if (t.server().state() == Policy.State.UP) {
+                u.stopAt = Long.MAX_VALUE;
+            } else {
+                stop(u, now);
+            }
+        }
+        if (targets.all()) {
+            upstreams.values().stream().filter(u -> !named.contains(u.id)).forEach(u -> stop(u, now));
+        }
+    }
+
+    private void stop(Upstream u, long now) {
+        long grace = boot.settings().bounds().drainGrace();
+        u.stopAt = Math.min(u.stopAt, now + Math.max(0, grace - Math.min(DRAIN_MARGIN, grace / 2)));
+        closeIdle(u);
+    }
+
+    // ---------------------------------------------------------------- attempts and probes
+
+    /** Sends a request; {@code wait} is how long the balancer will wait for its answer, in µs. */
+    Call send(String server, Order order, long wait, Listener listener) {
+        return start(server, new Call(order, Math.max(1, wait / 1000), listener));
+    }
+
+    /** Asks an upstream how it is; gives up after the time that a connection may take. */
+    void probe(String server, boolean report, Listener listener) {
+        Order order = new Order(HttpMethod.GET, report ? "/-/load" : "/-/healthy", EmptyHttpHeaders.INSTANCE,
+            new byte[0], -1, 0, null, 0, -1, false);
+        Call call = new Call(order, 0, listener);
+        call.timer = loop.schedule(() -> {
+            boolean asked = call.giveUp();
+            listener.ended(asked ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED, null, null);
+        }, connectMillis(), TimeUnit.MILLISECONDS);
+        start(server, call);
+    }
+
+    private Call start(String server, Call call) {
+        Upstream u = upstreams.get(server);
+        if (u == null || u.endpoint == null || clock.getAsLong() >= u.stopAt) {
+            call.end(Outcome.NOT_SENT, null, null);
+            return call;
+        }
+        Connection ready = u.idle.pollLast();
+        while (ready != null && !ready.usable()) {
+            ready.close();
+            ready = u.idle.pollLast();
+        }
+        if (ready != null) {
+            ready.write(call);
+        } else {
+            dial(u, call);
+        }
+        return call;
+    }
+
+    private void dial(Upstream u, Call call) {
+        if (descriptors.full() && !shedIdle()) {
+            call.end(Outcome.CONNECT_FAILED, null, null);
+            return;
+        }
+        Connection connection = new Connection(u);
+        connection.call = call;
+        call.connection = connection;
+        descriptors.opened();
+        ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(BODY_MOST),
+                    connection);
+            }
+        }).connect(u.endpoint);
+        connection.channel = connected.channel();
+        connection.channel.closeFuture().addListener(closed -> connection.closed());
+        connected.addListener(done -> {
+            if (!done.isSuccess()) {
+                connection.finish(Outcome.CONNECT_FAILED, null, null);
+                connection.channel.close();
+            } else if (connection.call == null) {
+                connection.rest();          // its attempt was given up meanwhile: the handshake is paid for
+            } else if (clock.getAsLong() >= u.stopAt) {
+                // Rule 3: the list changed while this one waited for its connection.
+                connection.finish(Outcome.NOT_SENT, null, null);
+                connection.close();
+            } else {
+                connection.write(connection.call);
+            }
+        });
+    }
+
+    // ---------------------------------------------------------------- idle connections
+
+    void closeIdle(String server) {
+        Upstream u = upstreams.get(server);
+        if (u != null) {
+            closeIdle(u);
+        }
+    }
+
+    private static void closeIdle(Upstream u) {
+        for (Connection c = u.idle.pollFirst(); c != null; c = u.idle.pollFirst()) {
+            c.close();
+        }
+    }
+
+    // Closes connections well before their upstream does: a request written to a dying one is a reset, which
+    // may have run, and most classes can't be sent again then.
+    private void closeOld() {
+        for (Upstream u : upstreams.values()) {
+            while (!u.idle.isEmpty() && !u.idle.peekFirst().usable()) {
+                u.idle.pollFirst().close();
+            }
+        }
+    }
+
+    /** Closes the connection that has been idle for longest; false where none is. */
+    boolean shedIdle() {
+        Connection oldest = null;
+        for (Upstream u : upstreams.values()) {
+            Connection c = u.idle.peekFirst();
+            if (c != null && (oldest == null || c.idleSince < oldest.idleSince)) {
+                oldest = c;
+            }
+        }
+        if (oldest == null) {
+            return false;
+        }
+        oldest.upstream.idle.pollFirst();
+        oldest.close();
+        return true;
+    }
+
+    /** A request on its way to an upstream. */
+    static final class Call {
+        private final Order order;
+        private final long waitMillis;              // 0: not told to the upstream
+        private final Listener listener;
+        private Connection connection;
+        private Future<?> timer;
+        private boolean ended;
+
+        private Call(Order order, long waitMillis, Listener listener) {
+            this.order = order;
+            this.waitMillis = waitMillis;
+            this.listener = listener;
+        }
+
+        /**
+         * Stops waiting and tells nobody; a connection that holds any of the request is closed.
+         *
+         * @return whether the request may have run: its last byte has been written
+         */
+        boolean giveUp() {
+            Connection c = connection;
+            if (ended || c == null) {
+                return false;
+            }
+            ended = true;
+            boolean mayHaveRun = c.written;
+            c.call = null;
+            connection = null;
+            if (c.begun) {
+                c.close();
+            }
+            return mayHaveRun;
+        }
+
+        private void end(Outcome outcome, FullHttpResponse answer, Policy.Load load) {
+            if (timer != null) {
+                timer.cancel(false);
+            }
+            if (!ended) {
+                ended = true;
+                connection = null;
+                listener.ended(outcome, answer, load);
+            }
+        }
+
+        private FullHttpRequest message(InetSocketAddress to) {
+            FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, order.method(),
+                order.uri(), Unpooled.wrappedBuffer(order.body()));
+            message.headers().add(order.headers());
+            if (!message.headers().contains(HttpHeaderNames.HOST)) {
+                message.headers().set(HttpHeaderNames.HOST,
+                    to.getAddress().getHostAddress() + ":" + to.getPort());
+            }
+            if (waitMillis > 0) {
+                message.headers().set(ClientServer.DEADLINE, Long.toString(waitMillis));
+            }
+            if (order.body().length > 0 || !order.method().equals(HttpMethod.GET)) {
+                HttpUtil.setContentLength(message, order.body().length);
+            }
+            return message;
+        }
+    }
+
+    /** One connection; it carries one request at a time, and is idle where {@code call} is null. */
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final Upstream upstream;
+        private Channel channel;
+        private Call call;
+        private boolean begun;                      // some of the request may have been written
+        private boolean written;                    // all of it has been
+        private long idleSince;
+
+        Connection(Upstream upstream) {
+            this.upstream = upstream;
+        }
+
+        boolean usable() {
+            return channel.isActive() && clock.getAsLong() - idleSince < idleMost;
+        }
+
+        void write(Call next) {
+            call = next;
+            next.connection = this;
+            begun = true;
+            written = false;
+            channel.writeAndFlush(next.message(upstream.endpoint)).addListener(done -> {
+                if (call == next) {
+                    written = done.isSuccess();
+                    if (!written) {
+                        finish(Outcome.CONNECT_FAILED, null, null);
+                        close();
+                    }
+                }
+            });
+        }
+
+        void rest() {
+            begun = false;
+            written = false;
+            idleSince = clock.getAsLong();
+            if (upstream.stopAt < Long.MAX_VALUE) {
+                close();
+            } else {
+                upstream.idle.addLast(this);
+            }
+        }
+
+        void finish(Outcome outcome, FullHttpResponse answer, Policy.Load load) {
+            Call ending = call;
+            call = null;
+            if (ending != null) {
+                ending.end(outcome, answer, load);
+            }
+        }
+
+        void close() {
+            channel.close();
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
+            if (answer.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                return;                             // the answer itself is still to come
+            }
+            Call answered = call;
+            if (answered == null || !answer.decoderResult().isSuccess()) {
+                close();                            // nobody asked, or it can't be read: see closed()
+                return;
+            }
+            call = null;
+            // Back among the idle before the module hears of it: its next send may want this one.
+            if (written && HttpUtil.isKeepAlive(answer)) {
+                rest();
+            } else {
+                close();
+            }
+            String report = answer.headers().get("Srv-Load");
+            if (report == null && answered.waitMillis == 0) {
+                report = answer.content().toString(StandardCharsets.UTF_8);     // of a probe
+            }
+            answered.end(classify(answer), answer, LoadReport.parse(report));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            close();                                // what became of the request is told in closed()
+        }
+
+        // The line between what never ran and what may have is the request's last byte.
+        private void closed() {
+            descriptors.closed();
+            upstream.idle.remove(this);
+            finish(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null, null);
+        }
+    }
+
+    // Turned away unseen only where the upstream says so itself; any other failure may have run.
+    private static Outcome classify(FullHttpResponse answer) {
+        int status = answer.status().code();
+        if (status == 200) {
+            return Outcome.OK;
+        }
+        boolean declined = "1".equals(answer.headers().get("Srv-Declined"));
+        return declined && (status == 503 || status == 504) ? Outcome.FULL : Outcome.ERROR;
+    }
+}
