--- a/src/main/java/junctionhead/net/Node.java
+++ b/src/main/java/junctionhead/net/Node.java
@@ -45,6 +45,7 @@
     public static int serve(Map<String, String> environment) {
         Consumer<String> log = line -> System.err.println("junctionhead: " + line);
         Node node;
+        InetSocketAddress at;
         try {
             node = new Node(Config.read(environment), Balance::new, log);
         } catch (Config.Bad e) {
@@ -52,7 +53,7 @@
             return 1;
         }
         try {
-            node.start();
+            at = node.start();
         } catch (Exception e) {     // sync() rethrows what bind failed with, whatever its type
             log.accept("can't listen on " + node.config.listen() + ": " + e.getMessage());
             return 1;
@@ -62,6 +63,8 @@
             // Without this the exit code would tell of the signal, not of the orderly end.
             Runtime.getRuntime().halt(0);
         }));
+        // Said only now: whoever reads it may send the signal at once.
+        log.accept("listening on " + at.getAddress().getHostAddress() + ":" + at.getPort());
         node.await();
         return 0;
     }
@@ -76,6 +79,10 @@
         return at;
     }
 
+    EventLoop loop() {
+        return loop;
+    }
+
     // Ready once an upstream may be sent to: what was known from before will do until discovery answers.
     private void listed(Policy.ListKind kind, Targets targets) {
         dispatcher.listed(kind, targets);
--- a/src/test/java/junctionhead/MainTest.java
+++ b/src/test/java/junctionhead/MainTest.java
@@ -3,7 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -20,7 +23,8 @@
 
     private static Run run(String input, String... arguments) throws IOException, InterruptedException {
         List<String> command = new ArrayList<>(List.of(
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp", "target/classes",
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+            System.getProperty("java.class.path"),
             "junctionhead.Main"));
         command.addAll(List.of(arguments));
         Path in = Files.createTempFile("junctionhead", ".in");
@@ -62,4 +66,68 @@
         assertTrue(run.err().equals("junctionhead: " + complaint.strip() + "\n"), run.err());
         assertEquals("", run.out());
     }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "/nowhere/config.json | can't read the configuration /nowhere/config.json: ",
+        "'' | ROUTER_CONFIG is not set",
+    })
+    void aBalancerWithoutConfigurationEndsWithOneLine(String file, String complaint)
+            throws IOException, InterruptedException {
+        Process process = serve(file);
+        String err = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(1, process.waitFor());
+        assertTrue(err.startsWith("junctionhead: " + complaint), err);
+        assertEquals(1, err.lines().count(), err);
+    }
+
+    @Test
+    void aTakenAddressEndsTheBalancerWithOneLine() throws IOException, InterruptedException {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Path config = config("127.0.0.1:" + taken.getLocalPort());
+            Process process = serve(config.toString());
+            String err = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertEquals(1, process.waitFor());
+            assertTrue(err.startsWith("junctionhead: can't listen on "), err);
+            assertEquals(1, err.lines().count(), err);
+            Files.delete(config);
+        }
+    }
+
+    @Test
+    void sigtermEndsABalancerWithExitCodeZero() throws IOException, InterruptedException {
+        Path config = config("127.0.0.1:0");
+        Process process = serve(config.toString());
+        try (BufferedReader err = process.errorReader(StandardCharsets.UTF_8)) {
+            String line = err.readLine();
+            assertTrue(line.startsWith("junctionhead: listening on 127.0.0.1:"), line);
+            process.destroy();                          // SIGTERM
+            assertEquals(0, process.waitFor());
+        }
+        Files.delete(config);
+    }
+
+    private static Path config(String listen) throws IOException {
+        Path config = Files.createTempFile("junctionhead", ".json");
+        return Files.writeString(config, """
+            {"listen": "%s", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964", "settings": {
+              "Balancers": 1, "Quantum": 5000, "MembershipMode": "ask",
+              "Classes": [{"Name": "a", "Idempotency": "safe", "GoalTime": 600000, "GiveUp": 1200000}],
+              "Limits": {"TryLimit": 3, "MayDuplicate": true, "Cancel": true, "Probes": true},
+              "Rules": {"AnswerSlack": 20000, "DrainGrace": 1000000, "AskWithin": 10000000, "ColdFrom": 0.2,
+                "RampTime": 20000000, "OverloadFactor": 2.5, "Fall": 1500000}}}
+            """.formatted(listen));
+    }
+
+    private static Process serve(String config) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+            System.getProperty("java.class.path"), "junctionhead.Main", "serve");
+        builder.environment().keySet().removeIf(name -> name.startsWith("ROUTER_"));
+        if (!config.isEmpty()) {
+            builder.environment().put("ROUTER_CONFIG", config);
+        }
+        builder.environment().put("ROUTER_NAME", "n1");
+        return builder.start();
+    }
 }
--- /dev/null
+++ b/src/test/java/junctionhead/net/FakeUpstream.java
@@ -0,0 +1,170 @@
+package junctionhead.net;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** The other side of a connection, for tests: hands each request over, and answers what the test says. */
+final class FakeUpstream implements Closeable {
+    /** A request as it came, and the connection to answer on. */
+    record Got(String head, byte[] body, Socket socket, int connection) {
+        String line() {
+            return head.substring(0, head.indexOf("\r\n"));
+        }
+
+        String header(String name) {
+            for (String line : head.split("\r\n")) {
+                if (line.toLowerCase(Locale.ROOT).startsWith(name.toLowerCase(Locale.ROOT) + ":")) {
+                    return line.substring(name.length() + 1).strip();
+                }
+            }
+            return null;
+        }
+
+        void raw(String text) throws IOException {
+            raw(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        void raw(byte[] bytes) throws IOException {
+            socket.getOutputStream().write(bytes);
+            socket.getOutputStream().flush();
+        }
+
+        void answer(int status, String headers, byte[] body) throws IOException {
+            ByteArrayOutputStream out = new ByteArrayOutputStream();
+            out.write(("HTTP/1.1 " + status + " X\r\n" + headers + "Content-Length: " + body.length
+                + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            out.write(body);
+            raw(out.toByteArray());
+        }
+
+        void answer(int status, String headers, String body) throws IOException {
+            answer(status, headers, body.getBytes(StandardCharsets.UTF_8));
+        }
+
+        /** Ends the connection with a reset. */
+        void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
+        /** Waits for the other side to end the connection. */
+        boolean closedByPeer() {
+            try {
+                socket.setSoTimeout(20_000);
+                return socket.getInputStream().read() < 0;
+            } catch (IOException e) {
+                return !(e instanceof java.net.SocketTimeoutException);
+            }
+        }
+    }
+
+    private final ServerSocket server;
+    private final BlockingQueue<Got> requests = new LinkedBlockingQueue<>();
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger connections = new AtomicInteger();
+    private final List<Thread> readers = new CopyOnWriteArrayList<>();
+
+    FakeUpstream() throws IOException {
+        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        run(() -> {
+            while (true) {
+                Socket socket = server.accept();
+                sockets.add(socket);
+                int number = connections.incrementAndGet();
+                run(() -> read(socket, number));
+            }
+        });
+    }
+
+    private interface Work {
+        void run() throws IOException;
+    }
+
+    private void run(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (IOException e) {
+                Thread.currentThread().interrupt();     // the socket has ended, and so does its reader
+            }
+        });
+        thread.setDaemon(true);
+        readers.add(thread);
+        thread.start();
+    }
+
+    private void read(Socket socket, int number) throws IOException {
+        InputStream in = new BufferedInputStream(socket.getInputStream());
+        while (true) {
+            String head = head(in);
+            if (head == null) {
+                return;
+            }
+            Got got = new Got(head, new byte[0], socket, number);
+            String length = got.header("Content-Length");
+            byte[] body = in.readNBytes(length == null ? 0 : Integer.parseInt(length));
+            requests.add(new Got(head, body, socket, number));
+            if (head.contains("watch=1")) {
+                return;                                 // the test reads the rest, if anything
+            }
+        }
+    }
+
+    /** Reads up to the empty line; null at the end of the stream. */
+    static String head(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int c = in.read();
+            if (c < 0) {
+                return null;
+            }
+            head.append((char) c);
+        }
+        return head.toString();
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    int connections() {
+        return connections.get();
+    }
+
+    /** The next request; fails where none comes. */
+    Got next() throws InterruptedException {
+        Got got = requests.poll(20, TimeUnit.SECONDS);
+        if (got == null) {
+            throw new AssertionError("no request came");
+        }
+        return got;
+    }
+
+    boolean isEmpty() {
+        return requests.isEmpty();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+}
