Rehearse before readiness, so that a cold start loses no request

The path at fault: Node.start told readiness as soon as it listened. Done: Rehearsal takes 3,000 requests through the whole path over the node's own address, with a module and connections of its own, for 4 s at most.

--- a/src/main/java/junctionhead/net/ClientServer.java
+++ b/src/main/java/junctionhead/net/ClientServer.java
@@ -58,6 +58,7 @@
     private Channel listener;
     private boolean ready;
     private boolean stopping;
+    private Rehearsal rehearsal;                    // while it is on
 
     ClientServer(EventLoop loop, SettingsReader.Boot boot, Dispatcher dispatcher, Descriptors descriptors,
             BooleanSupplier shedIdleUpstream) {
@@ -90,8 +91,13 @@
         }
     }
 
-    void ready(boolean is) {
-        ready = is;
+    void ready() {
+        ready = !stopping;
+    }
+
+    /** Serves a rehearsal's requests as well; null when it is over. */
+    void rehearse(Rehearsal with) {
+        rehearsal = with;
     }
 
     /** From here on answers end their connections; new ones are still taken. */
@@ -166,7 +172,12 @@
             String path = request.uri();
             if (!request.decoderResult().isSuccess()) {
                 plain(HttpResponseStatus.BAD_REQUEST, "malformed request", false);
-            } else if (path.startsWith("/-/")) {
+            } else if (rehearsal != null && path.equals(Rehearsal.HOP)) {
+                boolean declined = rehearsal.declines();
+                write(declined ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK,
+                    Unpooled.wrappedBuffer(new byte[256]), null, declined ? "Srv-Declined" : "Srv-Load",
+                    declined ? "1" : "TEXT eps=0.1, latency_ms=14.5, inflight=2", keep);
+            } else if (path.startsWith("/-/") && (rehearsal == null || !path.equals(Rehearsal.PATH))) {
                 boolean asked = path.equals("/-/ready") && request.method().equals(HttpMethod.GET);
                 HttpResponseStatus status = !asked ? HttpResponseStatus.NOT_FOUND
                     : ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
@@ -181,7 +192,9 @@
                 }
                 Answer answer = new Answer(this, keep);
                 gone = () -> { };
-                Runnable leave = dispatcher.take(order, answer);
+                Runnable leave = path.equals(Rehearsal.PATH)
+                    ? rehearsal.dispatcher().take(order.to(Rehearsal.HOP), answer)
+                    : dispatcher.take(order, answer);
                 if (!answer.given) {
                     gone = leave;
                 }
@@ -190,11 +203,11 @@
 
         private void plain(HttpResponseStatus status, String text, boolean keep) {
             ByteBuf body = Unpooled.copiedBuffer(text + "\n", StandardCharsets.UTF_8);
-            write(status, body, "text/plain", null, keep);
+            write(status, body, "text/plain", null, null, keep);
         }
 
-        private void write(HttpResponseStatus status, ByteBuf body, String type, String retryAfter,
-                boolean keep) {
+        private void write(HttpResponseStatus status, ByteBuf body, String type, String header,
+                String value, boolean keep) {
             gone = null;
             boolean stay = keep && !stopping;
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
@@ -202,8 +215,8 @@
                 response.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
             }
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-            if (retryAfter != null) {
-                response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfter);
+            if (value != null) {
+                response.headers().set(header, value);
             }
             if (!stay) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -259,7 +272,7 @@
         public void serve(FullHttpResponse answer) {
             given = true;
             client.write(HttpResponseStatus.OK, answer.content().retain(),
-                answer.headers().get(HttpHeaderNames.CONTENT_TYPE), null, keep);
+                answer.headers().get(HttpHeaderNames.CONTENT_TYPE), null, null, keep);
         }
 
         @Override
@@ -268,7 +281,7 @@
             String seconds = retryAfter <= 0 ? null : String.format(Locale.ROOT, "%.3f", retryAfter / 1e6);
             client.write(HttpResponseStatus.SERVICE_UNAVAILABLE,
                 Unpooled.copiedBuffer("refused: trying again is harmless\n", StandardCharsets.UTF_8),
-                "text/plain", seconds, keep);
+                "text/plain", "Retry-After", seconds, keep);
         }
 
         @Override
--- a/src/main/java/junctionhead/net/Dispatcher.java
+++ b/src/main/java/junctionhead/net/Dispatcher.java
@@ -80,6 +80,7 @@
     private Upstreams upstreams;
     private Discovery discovery;
     private boolean handing;
+    private boolean retired;
     private long taken;
     private long guarded;
     private long faults;
@@ -93,6 +94,7 @@
         this.log = log;
     }
 
+    /** {@code by} may be null: a rehearsal has no discovery. */
     void attach(Upstreams to, Discovery by) {
         upstreams = to;
         discovery = by;
@@ -107,6 +109,9 @@
 
     // The module is not re-entrant: what happens while it is at work or an action is carried out waits.
     private void hand(LongConsumer event) {
+        if (retired) {
+            return;
+        }
         waiting.add(event);
         if (handing) {
             return;
@@ -218,6 +223,11 @@
         hand(now -> policy.servers(now, kind, targets == null ? List.of() : targets.servers(), this));
     }
 
+    /** The module is told nothing more, and so asks for nothing. */
+    void retire() {
+        retired = true;
+    }
+
     /** Runs {@code then} on the loop, once no final answer is owed any more. */
     void whenIdle(Runnable then) {
         whenIdle = then;
@@ -293,12 +303,16 @@
 
     @Override
     public void watch(boolean on) {
-        discovery.watch(on);
+        if (discovery != null) {
+            discovery.watch(on);
+        }
     }
 
     @Override
     public void fetchList() {
-        discovery.fetch();
+        if (discovery != null) {
+            discovery.fetch();
+        }
     }
 
     @Override
--- a/src/main/java/junctionhead/net/Node.java
+++ b/src/main/java/junctionhead/net/Node.java
@@ -26,9 +26,13 @@
     private final ClientServer clients;
     private final Config config;
     private final CountDownLatch stopped = new CountDownLatch(1);
-    private boolean stopping;
+    private boolean hasList;
+    private boolean rehearsed;
 
-    Node(Config config, BiFunction<Policy.Settings, Long, Policy> module, Consumer<String> log) {
+    /** A node that is ready without a rehearsal, where {@code rehearse} is false. */
+    Node(Config config, BiFunction<Policy.Settings, Long, Policy> module, boolean rehearse,
+            Consumer<String> log) {
+        this.rehearsed = !rehearse;
         this.config = config;
         this.log = log;
         Descriptors descriptors = new Descriptors(config.sockets());
@@ -47,7 +51,7 @@
         Node node;
         InetSocketAddress at;
         try {
-            node = new Node(Config.read(environment), Balance::new, log);
+            node = new Node(Config.read(environment), Balance::new, true, log);
         } catch (Config.Bad e) {
             log.accept(e.getMessage());
             return 1;
@@ -75,6 +79,15 @@
         loop.execute(() -> {
             listed(Policy.ListKind.PERSISTED, config.known());
             discovery.start();
+            if (!rehearsed) {
+                Rehearsal rehearsal = new Rehearsal(loop, config, () -> {
+                    rehearsed = true;
+                    clients.rehearse(null);
+                    readyIfSo();
+                });
+                clients.rehearse(rehearsal);
+                rehearsal.start(at);
+            }
         });
         return at;
     }
@@ -88,15 +101,21 @@
         dispatcher.listed(kind, targets);
         boolean usable = kind == Policy.ListKind.COMPLETE || targets != null
             && targets.list().stream().anyMatch(t -> t.server().state() == Policy.State.UP);
-        if (usable && !stopping) {
-            clients.ready(true);
+        if (usable) {
+            hasList = true;
+            readyIfSo();
+        }
+    }
+
+    private void readyIfSo() {
+        if (hasList && rehearsed) {
+            clients.ready();
         }
     }
 
     /** Ends in order, as after SIGTERM, and returns when all that was taken has been answered. */
     void stop() {
         loop.execute(() -> {
-            stopping = true;
             clients.stopping();
         });
         loop.schedule(() -> {
--- a/src/main/java/junctionhead/net/Order.java
+++ b/src/main/java/junctionhead/net/Order.java
@@ -8,4 +8,10 @@
  * µs; {@code work} is -1 where the client gives no guess.
  */
 record Order(HttpMethod method, String uri, HttpHeaders headers, byte[] body, int requestClass, int tenant,
-        String key, long timeLeft, long work, boolean resubmission) { }
+        String key, long timeLeft, long work, boolean resubmission) {
+    /** The same for another path. */
+    Order to(String other) {
+        return new Order(method, other, headers, body, requestClass, tenant, key, timeLeft, work,
+            resubmission);
+    }
+}
--- /dev/null
+++ b/src/main/java/junctionhead/net/Rehearsal.java
@@ -0,0 +1,117 @@
+package junctionhead.net;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import junctionhead.Balance;
+import junctionhead.Policy;
+import junctionhead.SettingsReader;
+
+/**
+ * Takes requests of its own through the whole path, over this node's own address, before clients come. Guards
+ * against a cold start: with nothing compiled yet a node took hundreds of milliseconds for its first
+ * requests, fell behind at once under a full load, and answered some after their deadlines. It has a module,
+ * a dispatcher and connections of its own, which end with it, so that the real ones learn nothing from it.
+ */
+final class Rehearsal {
+    /** The path of its requests, and the one on which they come back to this node as an upstream. */
+    static final String PATH = "/-/rehearsal";
+    static final String HOP = "/-/rehearsed";
+
+    private static final int REQUESTS = 3_000;
+    private static final int AT_ONCE = 8;
+    private static final int DECLINED = 3;          // every third is turned away in the last part
+    private static final int SERVERS = 8;
+    private static final long MOST_MS = 4_000;      // where the machine is busy
+    private static final long WAIT = 1_000_000;     // µs for one request
+
+    private final EventLoop loop;
+    private final SettingsReader.Boot boot;
+    private final Runnable then;
+    private final Dispatcher dispatcher;
+    private final Upstreams back;
+    private final Upstreams front;
+    private int begun;
+    private int ended;
+    private int hops;
+    private boolean over;
+
+    /** {@code then} runs on the loop when it is over. */
+    Rehearsal(EventLoop loop, Config config, Runnable then) {
+        this.loop = loop;
+        this.boot = config.boot();
+        this.then = then;
+        Policy policy = new Balance(boot.settings(), config.seed());
+        dispatcher = new Dispatcher(loop, boot, policy, line -> { });
+        Descriptors descriptors = new Descriptors(config.sockets());
+        back = new Upstreams(loop, boot, descriptors, dispatcher::now);
+        front = new Upstreams(loop, boot, descriptors, dispatcher::now);
+        dispatcher.attach(back, null);
+    }
+
+    Dispatcher dispatcher() {
+        return dispatcher;
+    }
+
+    void start(InetSocketAddress self) {
+        List<Targets.Target> targets = new ArrayList<>();
+        for (int i = 0; i < SERVERS; i++) {
+            Policy.Server server = new Policy.Server("rehearsal-" + i, Policy.State.UP, 0, 1, 0, i % 2,
+                boot.settings().zone());
+            targets.add(new Targets.Target(server, self));
+        }
+        Targets all = new Targets(0, true, targets);
+        front.listed(all, dispatcher.now());
+        dispatcher.listed(Policy.ListKind.PERSISTED, all);
+        loop.schedule(this::end, MOST_MS, TimeUnit.MILLISECONDS);
+        for (int i = 0; i < AT_ONCE; i++) {
+            next();
+        }
+    }
+
+    /** As an upstream: whether the request that has come back is turned away. */
+    boolean declines() {
+        hops++;
+        return begun > REQUESTS / 2 && hops % DECLINED == 0;
+    }
+
+    private void next() {
+        if (begun >= REQUESTS) {
+            return;
+        }
+        int number = begun++ % boot.classes().size();
+        Policy.Effect effect = boot.settings().classes().get(number).effect();
+        HttpHeaders headers = new DefaultHttpHeaders().set("Req-Id", "rehearsal-" + begun)
+            .set("Req-Kind", boot.classes().get(number)).set("Req-Cost", Integer.toString(begun));
+        if (effect == Policy.Effect.KEYED) {
+            headers.set("Idempotency-Key", "rehearsal-" + begun);
+        }
+        HttpMethod method = effect == Policy.Effect.SAFE ? HttpMethod.GET : HttpMethod.POST;
+        byte[] body = new byte[effect == Policy.Effect.SAFE ? 0 : 200];
+        Order order = new Order(method, PATH, headers, body, number, 0, null, WAIT, -1, false);
+        front.send("rehearsal-0", order, WAIT, (outcome, answer, load) -> {
+            ended++;
+            if (ended >= REQUESTS) {
+                end();
+            } else if (!over) {
+                loop.execute(this::next);
+            }
+        });
+    }
+
+    private void end() {
+        if (!over) {
+            over = true;
+            begun = REQUESTS;
+            dispatcher.retire();
+            front.close();
+            back.close();
+            then.run();
+        }
+    }
+}
--- a/src/main/java/junctionhead/net/Upstreams.java
+++ b/src/main/java/junctionhead/net/Upstreams.java
@@ -66,6 +66,7 @@
     private final Bootstrap bootstrap;
     private final long idleMost;
     private final Map<String, Upstream> upstreams = new HashMap<>();
+    private Future<?> sweep;
 
     Upstreams(EventLoop loop, SettingsReader.Boot boot, Descriptors descriptors,
             LongSupplier clock) {
@@ -79,7 +80,7 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis());
         if (idleMost < Long.MAX_VALUE) {
             long every = Math.max(10_000, Math.min(1_000_000, idleMost / 10));
-            loop.scheduleWithFixedDelay(this::closeOld, every, every, TimeUnit.MICROSECONDS);
+            sweep = loop.scheduleWithFixedDelay(this::closeOld, every, every, TimeUnit.MICROSECONDS);
         }
     }
 
@@ -213,6 +214,17 @@
         }
     }
 
+    /** Closes all that is idle, now and from here on. */
+    void close() {
+        if (sweep != null) {
+            sweep.cancel(false);
+        }
+        for (Upstream u : upstreams.values()) {
+            u.stopAt = Long.MIN_VALUE;
+            closeIdle(u);
+        }
+    }
+
     /** Closes the connection that has been idle for longest; false where none is. */
     boolean shedIdle() {
         Connection oldest = null;
--- a/src/test/java/junctionhead/net/NodeTest.java
+++ b/src/test/java/junctionhead/net/NodeTest.java
@@ -136,6 +136,7 @@
 
     private final Scripted module = new Scripted();
     private final List<String> log = new ArrayList<>();
+    private boolean rehearse;
     private FakeUpstream upstream;
     private FakeUpstream discovery;
     private Node node;
@@ -200,7 +201,7 @@
             discovery.address(), "seed", "8c1f30d27a5be964", "limits", Map.of("sockets", sockets),
             "settings", settings, "known", com.fasterxml.jackson.jr.ob.JSON.std
                 .mapFrom(list(41, true, "in_service")));
-        node = new Node(Config.of(Map.of(), json), (s, seed) -> module, line -> {
+        node = new Node(Config.of(Map.of(), json), (s, seed) -> module, rehearse, line -> {
             synchronized (log) {
                 log.add(line);
             }
@@ -476,6 +477,27 @@
 
     // ---------------------------------------------------------------- start and stop
 
+    @Test
+    void aRehearsalComesBeforeReadinessAndReachesNeitherModuleNorUpstream()
+            throws IOException, InterruptedException {
+        rehearse = true;
+        start();
+        try (Client client = new Client(at)) {
+            int status = 503;
+            while (status == 503) {
+                status = client.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status();
+            }
+            assertEquals(200, status);
+            assertEquals(404, client.send("GET /-/rehearsed HTTP/1.1\r\nHost: x\r\n\r\n").status());
+            assertEquals(404, client.send(SAFE.replace("/api/k1?x=%20y", "/-/rehearsal")).status());
+            assertTrue(module.requests.isEmpty());
+            assertEquals(0, upstream.connections());
+            client.send(SAFE);
+            upstream.next().answer(200, "", "ok");
+            assertEquals(200, client.status());
+        }
+    }
+
     @Test
     void anOrderlyStopAnswersWhatIsHeldAndGoesOnTakingConnectionsForAWhile()
             throws IOException, InterruptedException {
