A drain that ends while an attempt waits for its connection: test; stopped upstreams are forgotten

The table of upstreams kept every machine that ever came (Upstreams.listed adds, nothing took out): a stopped one is now forgotten 60 s after its grace. The test of the drain fills the queue of waiting connections, so that a connection comes up only after the grace.

--- a/src/main/java/junctionhead/net/Upstreams.java
+++ b/src/main/java/junctionhead/net/Upstreams.java
@@ -41,6 +41,7 @@
     static final int BODY_MOST = 64 * 1024;
     private static final double IDLE_SHARE = 0.5;   // of the time after which upstreams close an idle one
     private static final long DRAIN_MARGIN = 50_000; // µs before the grace is over: the clock is not shared
+    private static final long FORGET = 60_000_000;  // µs after its grace that a stopped upstream is kept
     private static final int CONNECT_MS = 1_000;    // where the settings give no limit
 
     /** How a request to an upstream ended; {@code answer} is null but for OK, and the caller's to release. */
@@ -207,6 +208,9 @@
     // Closes connections well before their upstream does: a request written to a dying one is a reset, which
     // may have run, and most classes can't be sent again then.
     private void closeOld() {
+        // Guards against a table that grows with every machine that comes and goes.
+        long now = clock.getAsLong();
+        upstreams.values().removeIf(u -> u.stopAt < now - FORGET);
         for (Upstream u : upstreams.values()) {
             while (!u.idle.isEmpty() && !u.idle.peekFirst().usable()) {
                 u.idle.pollFirst().close();
--- a/src/test/java/junctionhead/net/NodeTest.java
+++ b/src/test/java/junctionhead/net/NodeTest.java
@@ -9,8 +9,11 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -137,6 +140,8 @@
     private final Scripted module = new Scripted();
     private final List<String> log = new ArrayList<>();
     private boolean rehearse;
+    private final BlockingQueue<Socket> accepted = new LinkedBlockingQueue<>();
+    private String endpoint;
     private FakeUpstream upstream;
     private FakeUpstream discovery;
     private Node node;
@@ -179,7 +184,8 @@
     }
 
     private String target(String state) {
-        return "{\"uid\":\"s1\",\"endpoint\":\"" + upstream.address() + "\",\"az\":\"podrum\","
+        return "{\"uid\":\"s1\",\"endpoint\":\"" + (endpoint == null ? upstream.address() : endpoint)
+            + "\",\"az\":\"podrum\","
             + "\"model\":\"slabi\",\"pod_group\":3,\"state\":\"" + state
             + "\",\"capacity_hint\":1.0,\"boot_ms\":0}";
     }
@@ -449,6 +455,75 @@
         }
     }
 
+    /** Its connections come up only once the test accepts: its queue of waiting connections is full. */
+    @Test
+    @Timeout(60)
+    void anAttemptThatStillWaitsForItsConnectionIsNotSentAfterTheGrace()
+            throws IOException, InterruptedException {
+        List<Socket> fillers = new ArrayList<>();
+        List<Client> clients = new ArrayList<>();
+        try (ServerSocket slow = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            while (fill(fillers, slow.getLocalPort())) {
+                assertTrue(fillers.size() < 50, "the queue never fills");
+            }
+            endpoint = "127.0.0.1:" + slow.getLocalPort();
+            start(Map.of("DialTimeout", 30_000_000), 1024);
+            clients.add(new Client(at).send(SAFE));
+            assertEquals("0 k1 700 true", module.requests.poll(20, TimeUnit.SECONDS));
+            onLoop(() -> module.actions.fetchList());
+            discovery.next().answer(200, "", "{\"rev\":50,\"all\":true,\"targets\":[]}");
+            assertEquals("COMPLETE []", module.next());
+            String told = null;
+            while (told == null) {                  // until new attempts show that the grace is over
+                clients.add(new Client(at).send(SAFE));
+                told = module.told.poll(100, TimeUnit.MILLISECONDS);
+            }
+            assertEquals("NOT_SENT", told);
+            Thread accepting = new Thread(() -> {
+                try {
+                    while (true) {
+                        accepted.add(slow.accept());
+                    }
+                } catch (IOException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            accepting.start();
+            for (int i = 1; i < clients.size(); i++) {
+                assertEquals("NOT_SENT", module.next());
+            }
+            Socket taken;
+            int ports = 0;
+            for (int i = 0; i < fillers.size(); i++) {
+                taken = accepted.poll(20, TimeUnit.SECONDS);
+                ports += taken == null ? 0 : 1;
+            }
+            assertEquals(fillers.size(), ports);
+            taken = accepted.poll(20, TimeUnit.SECONDS);
+            taken.setSoTimeout(20_000);
+            assertEquals(-1, taken.getInputStream().read(), "nothing was written");
+        } finally {
+            for (Socket filler : fillers) {
+                filler.close();
+            }
+            for (Client client : clients) {
+                client.close();
+            }
+        }
+    }
+
+    private static boolean fill(List<Socket> fillers, int port) throws IOException {
+        Socket socket = new Socket();
+        try {
+            socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 300);
+            fillers.add(socket);
+            return true;
+        } catch (SocketTimeoutException e) {
+            socket.close();
+            return false;
+        }
+    }
+
     @Test
     void probesTellTheLoad() throws IOException, InterruptedException {
         start();
