Know the listener before it listens

Ruled out: the rehearsal, which begins later, on the loop. At fault: ClientServer.listen, the assignment after sync(). Now the loop sets it before the bind. The test interrupts the starting thread, so that it never gets there.

--- a/src/main/java/junctionhead/net/ClientServer.java
+++ b/src/main/java/junctionhead/net/ClientServer.java
@@ -72,7 +72,15 @@
     /** Listens; called from another thread than the loop's, and returns the address in use. */
     InetSocketAddress listen(InetSocketAddress at) throws IOException {
         try {
-            listener = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+            Channel bound = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+                // Known before it listens: on a slow machine a connection came in before bind had returned
+                // to the starting thread, found no listener, and was dropped unanswered.
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        listener = channel;
+                    }
+                })
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
@@ -84,7 +92,7 @@
                         client.opened();
                     }
                 }).bind(at).sync().channel();
-            return (InetSocketAddress) listener.localAddress();
+            return (InetSocketAddress) bound.localAddress();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted");
--- a/src/test/java/junctionhead/net/NodeTest.java
+++ b/src/test/java/junctionhead/net/NodeTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedInputStream;
@@ -194,6 +195,31 @@
         return "{\"rev\":" + rev + ",\"all\":" + all + ",\"targets\":[" + target(state) + "]}\n";
     }
 
+    /** Interrupted, the starting thread never comes to hold the listener that clients reach all the same. */
+    @Test
+    void aConnectionThatComesBeforeTheStartHasReturnedIsAnswered() throws Exception {
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        node = new Node(config(1024, settings(), port), (s, seed) -> module, false, line -> { });
+        Thread.currentThread().interrupt();
+        assertThrows(IOException.class, node::start);
+        assertTrue(Thread.interrupted());
+        node.loop().submit(() -> { }).get(20, TimeUnit.SECONDS);    // the bind has been carried out
+        InetSocketAddress to = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+        try (Client client = new Client(to)) {
+            assertEquals(503, client.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status());
+        }
+    }
+
+    private Config config(int sockets, Map<String, Object> settings, int port) throws IOException {
+        return Config.of(Map.of(), Map.of("name", "n1", "listen", "127.0.0.1:" + port, "discovery",
+            discovery.address(), "seed", "8c1f30d27a5be964", "limits", Map.of("sockets", sockets),
+            "settings", settings, "known", com.fasterxml.jackson.jr.ob.JSON.std
+                .mapFrom(list(41, true, "in_service"))));
+    }
+
     private void start() throws IOException, InterruptedException {
         start(Map.of(), 1024);
     }
@@ -203,11 +229,7 @@
         @SuppressWarnings("unchecked")
         Map<String, Object> all = (Map<String, Object>) settings.get("Limits");
         all.putAll(limits);
-        Map<String, Object> json = Map.of("name", "n1", "listen", "127.0.0.1:0", "discovery",
-            discovery.address(), "seed", "8c1f30d27a5be964", "limits", Map.of("sockets", sockets),
-            "settings", settings, "known", com.fasterxml.jackson.jr.ob.JSON.std
-                .mapFrom(list(41, true, "in_service")));
-        node = new Node(Config.of(Map.of(), json), (s, seed) -> module, rehearse, line -> {
+        node = new Node(config(sockets, settings, 0), (s, seed) -> module, rehearse, line -> {
             synchronized (log) {
                 log.add(line);
             }
