SIGHUP takes over a new configuration instead of ending the balancer

Cause: nothing handled the signal, and a JVM's own handling of SIGHUP is an orderly exit. Now the file is read again on the signal's thread and discovery moves on the loop: open calls are dropped silently (their end would have reached the module as FAILED) and asked anew, from version 0. An unusable file is one log line. NodeTest is split by subject, its tests unchanged.

--- a/src/main/java/junctionhead/net/Config.java
+++ b/src/main/java/junctionhead/net/Config.java
@@ -47,6 +47,13 @@
         return of(environment, json == null ? Map.of() : json);
     }
 
+    /** Reads the file anew: where it names another discovery, that is the one to use from here on. */
+    static Config again(Map<String, String> environment) {
+        Map<String, String> others = new HashMap<>(environment);
+        others.remove("ROUTER_DISCOVERY");
+        return read(others);
+    }
+
     static Config of(Map<String, String> environment, Map<String, Object> json) {
         String name = told(environment, "ROUTER_NAME", json, "name");
         InetSocketAddress listen = address("listen", told(environment, "ROUTER_LISTEN", json, "listen"));
--- a/src/main/java/junctionhead/net/Discovery.java
+++ b/src/main/java/junctionhead/net/Discovery.java
@@ -23,7 +23,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -43,13 +45,15 @@
     private static final long AGAIN_MS = 500;       // after a failure, where lists are pushed
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
+    private final Set<Call> calls = new LinkedHashSet<>();      // under way
+    private InetSocketAddress address;
     private final SettingsReader.Boot boot;
     private final BiConsumer<ListKind, Targets> news;
     private final Consumer<String> log;
     private final boolean pushed;
     private long rev;
     private Call watch;
+    private boolean wanted;                         // a watch, whether one is open or not
 
     /** {@code news} gets each list and change; FAILED and null where a call or the watch has failed. */
     Discovery(EventLoop loop, InetSocketAddress address, SettingsReader.Boot boot, long rev,
@@ -72,11 +76,11 @@
 
     /** Subscribes to changes, in place of an earlier subscription, or ends it. */
     void watch(boolean on) {
+        wanted = on;
         Call earlier = watch;
         watch = on ? new Call("/api/targets?watch=1&from=" + rev, true) : null;
         if (earlier != null) {
-            earlier.over = true;
-            earlier.channel.close();
+            earlier.drop();
         }
         if (on) {
             watch.open();
@@ -88,6 +92,28 @@
         new Call("/api/targets", false).open();
     }
 
+    /**
+     * Goes on at another address: what is asked here is asked anew there, at once. The list stays in use
+     * meanwhile, and nobody is told of a failure, for none has happened. The whole list is asked for: another
+     * discovery may count its versions in another way.
+     */
+    void moveTo(InetSocketAddress other) {
+        if (other.equals(address)) {
+            return;
+        }
+        address = other;
+        rev = 0;
+        for (Call call : List.copyOf(calls)) {
+            call.drop();
+            if (!call.watching) {
+                fetch();
+            }
+        }
+        if (wanted) {
+            watch(true);
+        }
+    }
+
     /** A call under way; the answer of a watch goes on until its connection ends. */
     private final class Call extends SimpleChannelInboundHandler<ByteBuf> {
         private final String uri;
@@ -103,6 +129,7 @@
         }
 
         void open() {
+            calls.add(this);
             heard();
             ChannelFuture connected = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
@@ -129,15 +156,23 @@
             });
         }
 
+        /** Ends it, and nobody is told. */
+        void drop() {
+            over = true;
+            calls.remove(this);
+            if (watch == this) {
+                watch = null;
+            }
+            silence.cancel(false);
+            channel.close();
+        }
+
         // Guards against a discovery that is cut off: its connection stays open and silent.
         private void heard() {
             if (silence != null) {
                 silence.cancel(false);
             }
             silence = loop.schedule(() -> {
-                if (channel != null) {
-                    channel.close();
-                }
                 ended();
             }, SILENCE_MS, TimeUnit.MILLISECONDS);
         }
@@ -161,7 +196,6 @@
                 } catch (IllegalArgumentException e) {
                     // A change may be lost with it: the next watch, from the last good version, brings it.
                     log.accept("discovery sent a list that can't be read: " + e.getMessage());
-                    channel.close();
                     ended();
                     return;
                 }
@@ -170,8 +204,7 @@
             answered = true;
             news.accept(targets.all() ? ListKind.COMPLETE : ListKind.PARTIAL, targets);
             if (!watching) {
-                over = true;
-                channel.close();
+                drop();
             }
         }
 
@@ -181,14 +214,10 @@
         }
 
         private void ended() {
-            silence.cancel(false);
             if (over) {
                 return;
             }
-            over = true;
-            if (watch == this) {
-                watch = null;
-            }
+            drop();
             if (!pushed) {
                 news.accept(ListKind.FAILED, null);
             } else if (watching) {
--- a/src/main/java/junctionhead/net/Node.java
+++ b/src/main/java/junctionhead/net/Node.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import junctionhead.Balance;
 import junctionhead.Policy;
 
@@ -67,7 +68,10 @@
             // Without this the exit code would tell of the signal, not of the orderly end.
             Runtime.getRuntime().halt(0);
         }));
-        // Said only now: whoever reads it may send the signal at once.
+        if (!Hangup.onEach(() -> node.reload(() -> Config.again(environment)))) {
+            log.accept("no SIGHUP here: a new configuration needs a restart");
+        }
+        // Said only now: whoever reads it may send the signals at once.
         log.accept("listening on " + at.getAddress().getHostAddress() + ":" + at.getPort());
         node.await();
         return 0;
@@ -96,6 +100,24 @@
         return loop;
     }
 
+    /**
+     * Takes over a configuration that has been replaced: moves to its discovery. All else in it waits for a
+     * restart. One that can't be used changes nothing. Not for the loop's thread: it reads a file.
+     */
+    synchronized void reload(Supplier<Config> read) {
+        Config fresh;
+        try {
+            fresh = read.get();
+        } catch (Config.Bad e) {
+            log.accept("configuration not taken over: " + e.getMessage());
+            return;
+        }
+        InetSocketAddress to = fresh.discovery();
+        log.accept("configuration taken over: discovery at " + to.getAddress().getHostAddress() + ":"
+            + to.getPort() + (fresh.boot().equals(config.boot()) ? "" : "; new settings wait for a restart"));
+        loop.execute(() -> discovery.moveTo(to));
+    }
+
     // Ready once an upstream may be sent to: what was known from before will do until discovery answers.
     private void listed(Policy.ListKind kind, Targets targets) {
         dispatcher.listed(kind, targets);
--- a/src/test/java/junctionhead/MainTest.java
+++ b/src/test/java/junctionhead/MainTest.java
@@ -107,6 +107,39 @@
         Files.delete(config);
     }
 
+    /** By itself a JVM ends on SIGHUP. */
+    @Test
+    void sighupTakesOverTheConfigurationAndEndsNothing() throws IOException, InterruptedException {
+        Path config = config("127.0.0.1:0");
+        Process process = serve(config.toString());
+        try (BufferedReader err = process.errorReader(StandardCharsets.UTF_8)) {
+            err.readLine();
+            Files.writeString(config, Files.readString(config).replace("127.0.0.1:9\"", "127.0.0.1:7\""));
+            hangup(process);
+            assertEquals("junctionhead: configuration taken over: discovery at 127.0.0.1:7",
+                nextWith("configuration", err));
+            Files.writeString(config, "{");
+            hangup(process);
+            String line = nextWith("configuration", err);
+            assertTrue(line.startsWith("junctionhead: configuration not taken over: can't read"), line);
+            process.destroy();
+            assertEquals(0, process.waitFor());
+        }
+        Files.delete(config);
+    }
+
+    private static void hangup(Process process) throws IOException, InterruptedException {
+        assertEquals(0, new ProcessBuilder("sh", "-c", "kill -HUP " + process.pid()).start().waitFor());
+    }
+
+    private static String nextWith(String word, BufferedReader lines) throws IOException {
+        String line = lines.readLine();
+        while (line != null && !line.contains(word)) {
+            line = lines.readLine();
+        }
+        return line;
+    }
+
     private static Path config(String listen) throws IOException {
         Path config = Files.createTempFile("junctionhead", ".json");
         return Files.writeString(config, """
--- /dev/null
+++ b/src/test/java/junctionhead/net/AnswersTest.java
@@ -0,0 +1,141 @@
+package junctionhead.net;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** One final answer to each request, and what an attempt is told to have come to. */
+class AnswersTest extends NodeFixture {
+    @Test
+    void aRequestGoesOnUnchangedAndTheWholeAnswerComesBack() throws IOException, InterruptedException {
+        start();
+        byte[] big = new byte[64 * 1024];
+        new Random(1).nextBytes(big);
+        try (Client client = new Client(at)) {
+            client.send(SAFE);
+            assertEquals("0 k1 700 true", module.requests.poll(20, TimeUnit.SECONDS));
+            FakeUpstream.Got got = upstream.next();
+            assertEquals("GET /api/k1?x=%20y HTTP/1.1", got.line());
+            assertEquals("r1", got.header("Req-Id"));
+            assertTrue(Integer.parseInt(got.header("Req-Deadline-Ms")) < 20_000);
+            got.answer(200, "Srv-Load: TEXT eps=0.1, inflight=7\r\n", big);
+            assertEquals(200, client.status());
+            assertArrayEquals(big, client.body);
+            assertEquals("OK 7.0 closed", module.next());
+            client.send(post("pay", "Idempotency-Key: abc\r\nReq-Deadline-Ms: 20000\r\n", "hello"));
+            got = upstream.next();
+            assertEquals("abc", got.header("Idempotency-Key"));
+            assertEquals("hello", new String(got.body(), StandardCharsets.UTF_8));
+            got.raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+            assertEquals(200, client.status());
+            assertEquals("abc", new String(client.body, StandardCharsets.UTF_8));
+        }
+        assertEquals(1, upstream.connections());    // kept and used again
+    }
+
+    @ParameterizedTest
+    @CsvSource({"200,'',OK closed,200", "500,'',ERROR,502", "503,'',ERROR,502",
+        "503,Srv-Declined: 1,FULL,502", "504,Srv-Declined: 1,FULL,502", "500,Srv-Declined: 1,ERROR,502",
+        "429,'',ERROR,502"})
+    void onlyADeclinedAnswerProvesThatNothingRan(int status, String header, String told, int passed)
+            throws IOException, InterruptedException {
+        start();
+        try (Client client = new Client(at)) {
+            client.send(SAFE);
+            upstream.next().answer(status, header.isEmpty() ? "" : header + "\r\n", "");
+            assertEquals(told, module.next());
+            assertEquals(passed, client.status());
+        }
+    }
+
+    @Test
+    void aBrokenConnectionIsAResetOnceTheRequestIsWritten() throws IOException, InterruptedException {
+        start();
+        try (Client client = new Client(at)) {
+            client.send(SAFE);
+            upstream.next().reset();
+            assertEquals("RESET", module.next());
+            assertEquals(502, client.status());
+            client.send(SAFE);
+            FakeUpstream.Got half = upstream.next();
+            half.raw("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+            half.socket().close();
+            assertEquals("RESET", module.next());
+            assertEquals(502, client.status());
+        }
+    }
+
+    @Test
+    void aRefusedConnectionNeverRan() throws IOException, InterruptedException {
+        start();
+        upstream.close();
+        try (Client client = new Client(at)) {
+            assertEquals(502, client.send(SAFE).status());
+            assertEquals("CONNECT_FAILED", module.next());
+        }
+    }
+
+    @Test
+    void aTimeOutClosesTheConnectionAndMayHaveRun() throws IOException, InterruptedException {
+        start();
+        module.timeout = 100_000;
+        try (Client client = new Client(at)) {
+            client.send(SAFE);
+            FakeUpstream.Got got = upstream.next();
+            assertTrue(Integer.parseInt(got.header("Req-Deadline-Ms")) <= 100);
+            assertEquals("TIMEOUT", module.next());
+            assertEquals(502, client.status());
+            assertTrue(got.closedByPeer());
+        }
+    }
+
+    @Test
+    void aClientThatLeavesIsToldToTheModuleAndItsAttemptIsGivenUp() throws IOException, InterruptedException {
+        start();
+        Client client = new Client(at).send(SAFE);
+        FakeUpstream.Got got = upstream.next();
+        client.close();
+        assertEquals("gone", module.next());
+        assertEquals("CANCELLED closed", module.next());
+        assertTrue(got.closedByPeer());
+    }
+
+    @Test
+    void aSilentModuleIsCoveredByTheLastResort() throws IOException, InterruptedException {
+        start();
+        module.server = null;
+        try (Client client = new Client(at)) {
+            client.send(SAFE.replace("20000", "150"));
+            assertEquals(502, client.status());
+            assertEquals("gone", module.next());
+        }
+        synchronized (log) {
+            assertTrue(log.contains("last-resort answers: 1"), log.toString());
+        }
+    }
+
+    @Test
+    void aModuleThatThrowsDoesNotEndTheNode() throws IOException, InterruptedException {
+        start();
+        module.broken = true;
+        try (Client client = new Client(at)) {
+            assertEquals(502, client.send(SAFE.replace("20000", "150")).status());
+            assertEquals("gone", module.next());
+            synchronized (log) {
+                assertTrue(log.get(log.size() - 2).startsWith("fault 1: "), log.toString());
+            }
+            module.broken = false;
+            client.send(SAFE);
+            upstream.next().answer(200, "", "ok");
+            assertEquals(200, client.status());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/junctionhead/net/LifeCycleTest.java
@@ -0,0 +1,103 @@
+package junctionhead.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Start, configuration and stop. */
+class LifeCycleTest extends NodeFixture {
+    /** Interrupted, the starting thread never comes to hold the listener that clients reach all the same. */
+    @Test
+    void aConnectionThatComesBeforeTheStartHasReturnedIsAnswered() throws Exception {
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        node = new Node(config(1024, settings(), port), (s, seed) -> module, false, line -> { });
+        Thread.currentThread().interrupt();
+        assertThrows(IOException.class, node::start);
+        assertTrue(Thread.interrupted());
+        node.loop().submit(() -> { }).get(20, TimeUnit.SECONDS);    // the bind has been carried out
+        InetSocketAddress to = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+        try (Client client = new Client(to)) {
+            assertEquals(503, client.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status());
+        }
+    }
+
+    @Test
+    void aRehearsalComesBeforeReadinessAndReachesNeitherModuleNorUpstream()
+            throws IOException, InterruptedException {
+        rehearse = true;
+        start();
+        try (Client client = new Client(at)) {
+            int status = 503;
+            while (status == 503) {
+                status = client.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status();
+            }
+            assertEquals(200, status);
+            assertEquals(404, client.send("GET /-/rehearsed HTTP/1.1\r\nHost: x\r\n\r\n").status());
+            assertEquals(404, client.send(SAFE.replace("/api/k1?x=%20y", "/-/rehearsal")).status());
+            assertTrue(module.requests.isEmpty());
+            assertEquals(0, upstream.connections());
+            client.send(SAFE);
+            upstream.next().answer(200, "", "ok");
+            assertEquals(200, client.status());
+        }
+    }
+
+    @Test
+    void anOrderlyStopAnswersWhatIsHeldAndGoesOnTakingConnectionsForAWhile()
+            throws IOException, InterruptedException {
+        start();
+        Client idle = new Client(at);
+        assertEquals(200, idle.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status());
+        Client held = new Client(at).send(SAFE);
+        FakeUpstream.Got got = upstream.next();
+        Thread stop = new Thread(node::stop);
+        stop.start();
+        int ready = 200;
+        while (ready == 200) {
+            try (Client late = new Client(at)) {
+                ready = late.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status();
+            }
+        }
+        assertEquals(503, ready);
+        assertNull(idle.answer());                  // dropped at rest
+        got.answer(200, "", "late but whole");
+        String head = held.answer();
+        assertTrue(head.startsWith("HTTP/1.1 200"), head);
+        assertTrue(head.toLowerCase().contains("connection: close"), head);
+        assertNull(held.answer());
+        stop.join();
+        node = null;
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "{} | ROUTER_LISTEN is not set, and the configuration has no listen",
+        "{\"listen\":\"127.0.0.1:0\",\"discovery\":\"localhost:1\"} | discovery: not an address: 'localhost'",
+        "{\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\"} | the configuration has no settings",
+        "{\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"settings\":{\"Quantum\":1}} "
+            + "| settings: ",
+    })
+    void badConfigurationIsNamed(String json, String complaint) throws IOException {
+        try {
+            Config.of(Map.of("ROUTER_NAME", "n1"), com.fasterxml.jackson.jr.ob.JSON.std.mapFrom(json));
+        } catch (Config.Bad e) {
+            assertTrue(e.getMessage().startsWith(complaint), e.getMessage());
+            return;
+        }
+        throw new AssertionError("taken");
+    }
+}
--- /dev/null
+++ b/src/test/java/junctionhead/net/NodeFixture.java
@@ -0,0 +1,239 @@
+package junctionhead.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.BufferedInputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import junctionhead.Policy;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+
+/** A real balancer over loopback sockets, with a module that does what the test says. */
+abstract class NodeFixture {
+    /** A module that notes what it is told and sends each request where {@code onRequest} says. */
+    static class Scripted implements Policy {
+        final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
+        volatile long timeout;
+        volatile boolean broken;
+        volatile String server = "s1";
+        volatile Policy.Actions actions;
+
+        @Override
+        public void servers(long now, ListKind kind, List<Server> servers, Actions out) {
+            actions = out;
+            told.add(kind + " " + servers.stream().map(s -> s.id() + "=" + s.state()).toList());
+        }
+
+        @Override
+        public void request(long now, String request, int requestClass, int tenant, String key, long timeLeft,
+                long work, boolean resubmission, Actions out) {
+            requests.add(requestClass + " " + key + " " + work + " " + resubmission);
+            if (broken) {
+                throw new IllegalStateException("broken");
+            }
+            if (server != null) {
+                out.send(request, server, timeout);
+            }
+        }
+
+        @Override
+        public void outcome(long now, String request, int attempt, Outcome outcome, long latency,
+                boolean closed, Load load, Actions out) {
+            told.add(outcome + (load == null ? "" : " " + load.inFlight()) + (closed ? " closed" : ""));
+            if (!closed) {
+                out.fail(request);
+            }
+        }
+
+        @Override
+        public void streamStarted(long now, String request, int attempt, Actions out) { }
+
+        @Override
+        public void clientGone(long now, String request, Actions out) {
+            told.add("gone");
+            out.cancel(request, 0);
+        }
+
+        @Override
+        public void probed(long now, String server, Outcome outcome, long latency, Load load, Actions out) {
+            told.add("probed " + outcome + " " + (load == null ? "-" : load.inFlight()));
+        }
+
+        @Override
+        public void wake(long now, Actions out) { }
+
+        String next() throws InterruptedException {
+            String event = told.poll(20, TimeUnit.SECONDS);
+            if (event == null) {
+                throw new AssertionError("the module was told nothing");
+            }
+            return event;
+        }
+    }
+
+    /** A client's connection. */
+    static final class Client implements Closeable {
+        final Socket socket;
+        final InputStream in;
+        byte[] body;
+
+        Client(InetSocketAddress to) throws IOException {
+            socket = new Socket(to.getAddress(), to.getPort());
+            socket.setSoTimeout(20_000);
+            in = new BufferedInputStream(socket.getInputStream());
+        }
+
+        Client send(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().flush();
+            return this;
+        }
+
+        /** The head of the next answer; its body is kept. Null at the end of the connection. */
+        String answer() throws IOException {
+            String head = FakeUpstream.head(in);
+            if (head != null) {
+                String length = head.toLowerCase().split("content-length: ")[1].split("\r\n")[0];
+                body = in.readNBytes(Integer.parseInt(length));
+            }
+            return head;
+        }
+
+        int status() throws IOException {
+            return Integer.parseInt(answer().split(" ")[1]);
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    static final String SAFE = "GET /api/k1?x=%20y HTTP/1.1\r\nHost: backend.local\r\nReq-Id: r1\r\n"
+        + "Req-Kind: read\r\nReq-Deadline-Ms: 20000\r\nReq-Cost: 700\r\nReq-Retry: 1\r\n\r\n";
+
+    final Scripted module = new Scripted();
+    final List<String> log = new ArrayList<>();
+    boolean rehearse;
+    String endpoint;
+    FakeUpstream upstream;
+    FakeUpstream discovery;
+    Node node;
+    InetSocketAddress at;
+
+    @BeforeEach
+    void open() throws IOException {
+        upstream = new FakeUpstream();
+        discovery = new FakeUpstream();
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        if (node != null) {
+            node.stop();
+        }
+        upstream.close();
+        discovery.close();
+    }
+
+    static Map<String, Object> kind(String name, String effect) {
+        return Map.of("Name", name, "Idempotency", effect, "DedupScope", "cell", "GoalTime", 600_000,
+            "GiveUp", 30_000_000, "KeyTtl", 1_000_000);
+    }
+
+    static Map<String, Object> settings() {
+        Map<String, Object> settings = new HashMap<>();
+        settings.put("Balancers", 1);
+        settings.put("Classes", List.of(kind("read", "safe"), kind("pay", "keyed"), kind("book", "unsafe")));
+        settings.put("Limits", new HashMap<>(Map.of("TryLimit", 3, "MayDuplicate", true, "Cancel", true,
+            "Probes", true, "DialTimeout", 500_000, "IdleClose", 30_000_000)));
+        settings.put("MembershipMode", "ask");
+        settings.put("Rules", Map.of("AnswerSlack", 8_000, "DrainGrace", 1_000_000, "AskWithin", 10_000_000,
+            "ColdFrom", 0.3, "RampTime", 8_400_000, "OverloadFactor", 3.0, "Fall", 1_000_000));
+        settings.put("Quantum", 2_000);
+        settings.put("Areas", List.of("podrum"));
+        settings.put("Kinds", List.of("puni", "slabi"));
+        settings.put("Stats", Map.of("How", "answers", "Fields", List.of("outstanding")));
+        return settings;
+    }
+
+    String target(String state) {
+        return "{\"uid\":\"s1\",\"endpoint\":\"" + (endpoint == null ? upstream.address() : endpoint)
+            + "\",\"az\":\"podrum\","
+            + "\"model\":\"slabi\",\"pod_group\":3,\"state\":\"" + state
+            + "\",\"capacity_hint\":1.0,\"boot_ms\":0}";
+    }
+
+    String list(int rev, boolean all, String state) {
+        return "{\"rev\":" + rev + ",\"all\":" + all + ",\"targets\":[" + target(state) + "]}\n";
+    }
+
+    Config config(int sockets, Map<String, Object> settings, int port) throws IOException {
+        return config(sockets, settings, port, discovery.address());
+    }
+
+    Config config(int sockets, Map<String, Object> settings, int port, String discovery) throws IOException {
+        return Config.of(Map.of(), Map.of("name", "n1", "listen", "127.0.0.1:" + port, "discovery", discovery,
+            "seed", "8c1f30d27a5be964", "limits", Map.of("sockets", sockets),
+            "settings", settings, "known", com.fasterxml.jackson.jr.ob.JSON.std
+                .mapFrom(list(41, true, "in_service"))));
+    }
+
+    void start() throws IOException, InterruptedException {
+        start(Map.of(), 1024);
+    }
+
+    void start(Map<String, Object> limits, int sockets) throws IOException, InterruptedException {
+        Map<String, Object> settings = settings();
+        @SuppressWarnings("unchecked")
+        Map<String, Object> all = (Map<String, Object>) settings.get("Limits");
+        all.putAll(limits);
+        node = new Node(config(sockets, settings, 0), (s, seed) -> module, rehearse, line -> {
+            synchronized (log) {
+                log.add(line);
+            }
+        });
+        at = node.start();
+        assertEquals("PERSISTED [s1=UP]", module.next());
+    }
+
+    static String post(String kind, String extra, String body) {
+        return "POST /api/k1 HTTP/1.1\r\nHost: backend.local\r\nReq-Id: r1\r\nReq-Kind: " + kind + "\r\n"
+            + extra + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    // The upstream's own reader takes the end of the stream; the socket tells of it by refusing what is sent.
+    static boolean closesSoon(FakeUpstream.Got got) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (System.nanoTime() < until) {
+            try {
+                got.raw("\r\n");
+            } catch (IOException e) {
+                return true;
+            }
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        return false;
+    }
+
+    static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    void onLoop(Runnable action) {
+        node.loop().execute(action);
+    }
+}
--- /dev/null
+++ b/src/test/java/junctionhead/net/UpstreamsTest.java
@@ -0,0 +1,143 @@
+package junctionhead.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Connections to upstreams: their rest, their drains and their probes. */
+class UpstreamsTest extends NodeFixture {
+    private final BlockingQueue<Socket> accepted = new LinkedBlockingQueue<>();
+
+    @Test
+    void idleConnectionsAreClosedWellBeforeTheUpstreamWould() throws IOException, InterruptedException {
+        start(Map.of("IdleClose", 400_000), 1024);
+        try (Client client = new Client(at)) {
+            client.send(SAFE);
+            FakeUpstream.Got got = upstream.next();
+            got.answer(200, "", "ok");
+            assertEquals(200, client.status());
+            assertTrue(closesSoon(got));
+        }
+    }
+
+
+    @Test
+    @Timeout(60)
+    void nothingIsSentToAnUpstreamThatHasGone() throws IOException, InterruptedException {
+        start(Map.of(), 1024);
+        onLoop(() -> module.actions.fetchList());
+        discovery.next().answer(200, "", "{\"rev\":50,\"all\":true,\"targets\":[]}");
+        assertEquals("COMPLETE []", module.next());
+        // The grace is over at last; the module of this test goes on sending all the same.
+        try (Client client = new Client(at)) {
+            String told = "OK closed";
+            while (told.startsWith("OK")) {
+                client.send(SAFE);
+                told = module.told.poll(10, TimeUnit.MILLISECONDS);
+                while (told == null) {
+                    if (!upstream.isEmpty()) {
+                        upstream.next().answer(200, "", "ok");
+                    }
+                    told = module.told.poll(10, TimeUnit.MILLISECONDS);
+                }
+                client.status();
+            }
+            assertEquals("NOT_SENT", told);
+        }
+    }
+
+    /** Its connections come up only once the test accepts: its queue of waiting connections is full. */
+    @Test
+    @Timeout(60)
+    void anAttemptThatStillWaitsForItsConnectionIsNotSentAfterTheGrace()
+            throws IOException, InterruptedException {
+        List<Socket> fillers = new ArrayList<>();
+        List<Client> clients = new ArrayList<>();
+        try (ServerSocket slow = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            while (fill(fillers, slow.getLocalPort())) {
+                assertTrue(fillers.size() < 50, "the queue never fills");
+            }
+            endpoint = "127.0.0.1:" + slow.getLocalPort();
+            start(Map.of("DialTimeout", 30_000_000), 1024);
+            clients.add(new Client(at).send(SAFE));
+            assertEquals("0 k1 700 true", module.requests.poll(20, TimeUnit.SECONDS));
+            onLoop(() -> module.actions.fetchList());
+            discovery.next().answer(200, "", "{\"rev\":50,\"all\":true,\"targets\":[]}");
+            assertEquals("COMPLETE []", module.next());
+            String told = null;
+            while (told == null) {                  // until new attempts show that the grace is over
+                clients.add(new Client(at).send(SAFE));
+                told = module.told.poll(100, TimeUnit.MILLISECONDS);
+            }
+            assertEquals("NOT_SENT", told);
+            Thread accepting = new Thread(() -> {
+                try {
+                    while (true) {
+                        accepted.add(slow.accept());
+                    }
+                } catch (IOException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            accepting.start();
+            for (int i = 1; i < clients.size(); i++) {
+                assertEquals("NOT_SENT", module.next());
+            }
+            Socket taken;
+            int ports = 0;
+            for (int i = 0; i < fillers.size(); i++) {
+                taken = accepted.poll(20, TimeUnit.SECONDS);
+                ports += taken == null ? 0 : 1;
+            }
+            assertEquals(fillers.size(), ports);
+            taken = accepted.poll(20, TimeUnit.SECONDS);
+            taken.setSoTimeout(20_000);
+            assertEquals(-1, taken.getInputStream().read(), "nothing was written");
+        } finally {
+            for (Socket filler : fillers) {
+                filler.close();
+            }
+            for (Client client : clients) {
+                client.close();
+            }
+        }
+    }
+
+    private static boolean fill(List<Socket> fillers, int port) throws IOException {
+        Socket socket = new Socket();
+        try {
+            socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 300);
+            fillers.add(socket);
+            return true;
+        } catch (SocketTimeoutException e) {
+            socket.close();
+            return false;
+        }
+    }
+
+    @Test
+    void probesTellTheLoad() throws IOException, InterruptedException {
+        start();
+        onLoop(() -> module.actions.probe("s1"));
+        FakeUpstream.Got got = upstream.next();
+        assertEquals("GET /-/load HTTP/1.1", got.line());
+        assertNull(got.header("Req-Id"));
+        got.answer(200, "", "TEXT inflight=3");
+        assertEquals("probed OK 3.0", module.next());
+    }
+}
