--- a/src/main/java/junctionhead/LoadReport.java
+++ b/src/main/java/junctionhead/LoadReport.java
@@ -10,6 +10,8 @@
     private static final List<String> SOCKET =
         List.of("inflight", "queue", "util", "latency_ms", "qps", "eps");
 
+    private static final double VALUE_MOST = 1e9;
+
     private LoadReport() { }
 
     static double[] unknown() {
@@ -29,7 +31,7 @@
     }
 
     /**
-     * Reads a report like {@code TEXT inflight=7, queue=2}. What can't be read is passed over.
+     * Reads a report like {@code TEXT inflight=7, queue=2}. What can't be read, or meant, is passed over.
      *
      * @return null where there is no report, or none of its values is known
      */
@@ -39,13 +41,18 @@
         }
         double[] values = unknown();
         boolean any = false;
-        for (String pair : text.strip().replaceFirst("^TEXT\\s+", "").split(",")) {
+        String pairs = text.strip();
+        for (String pair : (pairs.startsWith("TEXT ") ? pairs.substring(5) : pairs).split(",")) {
             int at = pair.indexOf('=');
             int slot = at < 0 ? -1 : slot(pair.substring(0, at).strip());
             if (slot >= 0) {
                 try {
-                    values[slot] = Double.parseDouble(pair.substring(at + 1).strip());
-                    any = true;
+                    double value = Double.parseDouble(pair.substring(at + 1).strip());
+                    // Guards against figures that no upstream can mean: NaN and infinity are numbers too.
+                    if (value >= 0 && value <= VALUE_MOST) {
+                        values[slot] = value;
+                        any = true;
+                    }
                 } catch (NumberFormatException e) {
                     continue;       // one odd value does not spoil the others
                 }
--- /dev/null
+++ b/src/main/java/junctionhead/net/AnswerReader.java
@@ -0,0 +1,198 @@
+package junctionhead.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
+import io.netty.util.ReferenceCountUtil;
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * Reads the answers on one connection to an upstream, one for each request, and trusts nothing that comes:
+ * an answer that can't be read for certain is none, and what nobody asked for spoils the connection.
+ */
+final class AnswerReader extends SimpleChannelInboundHandler<HttpObject> {
+    private static final int HEAD_MOST = 8 * 1024;
+    private static final int HINTS_MOST = 8;        // 1xx answers ahead of one
+
+    /** An upstream's whole answer. */
+    record Answer(int status, HttpHeaders headers, byte[] body) {
+        String type() {
+            return headers.get(HttpHeaderNames.CONTENT_TYPE);
+        }
+    }
+
+    /** Whom it tells, once for each request. */
+    interface Taker {
+        /** {@code usable}: the connection may carry another request. */
+        void answered(Answer answer, boolean usable);
+
+        /** Nothing more can be read here. */
+        void spoilt();
+    }
+
+    private final Taker taker;
+    private final Decoder decoder = new Decoder();
+    private boolean expecting;                      // a request has been sent whose answer hasn't been told
+    private boolean spoilt;
+    private HttpResponse head;
+    private byte[] body;
+    private int length;
+    private int hints;
+    private boolean hint;                           // within a 1xx answer
+    private Answer whole;                           // told at the end of the read
+
+    AnswerReader(Taker taker) {
+        this.taker = taker;
+    }
+
+    ChannelHandler decoder() {
+        return decoder;
+    }
+
+    /** A request is about to be sent. */
+    void expect() {
+        expecting = true;
+        hints = 0;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
+        if (spoilt) {
+            return;
+        }
+        if (whole != null || !part.decoderResult().isSuccess()) {
+            spoil();                                // a second answer, or one that can't be read
+            return;
+        }
+        if (part instanceof HttpResponse answer) {
+            begin(answer);
+        }
+        if (!spoilt && part instanceof HttpContent content) {
+            boolean last = part instanceof LastHttpContent;
+            if (hint) {
+                hint = !last;                       // the answer itself is still to come
+            } else if (add(content.content()) && last) {
+                whole = new Answer(head.status().code(), head.headers(),
+                    body.length == length ? body : Arrays.copyOf(body, length));
+            }
+        }
+    }
+
+    private void begin(HttpResponse answer) {
+        if (answer.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            hint = true;
+            if (++hints > HINTS_MOST || answer.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+                spoil();
+            }
+            return;
+        }
+        head = answer;
+        body = new byte[0];
+        length = 0;
+        List<String> codings = answer.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean chunked = codings.size() == 1 && codings.get(0).strip().equalsIgnoreCase("chunked");
+        // One whose end shows only in the end of the connection can't be told from one cut short.
+        boolean ends = codings.isEmpty() ? HttpUtil.isContentLengthSet(answer) : chunked;
+        if (!ends || HttpUtil.getContentLength(answer, 0L) > RequestRules.BODY_MOST) {
+            spoil();
+        }
+    }
+
+    // Guards against answers that say or bring more than is ever held: no memory grows by them.
+    private boolean add(ByteBuf more) {
+        int bytes = more.readableBytes();
+        if (length + bytes > RequestRules.BODY_MOST) {
+            spoil();
+            return false;
+        }
+        if (length == 0) {
+            body = ByteBufUtil.getBytes(more);
+        } else if (bytes > 0) {
+            if (length + bytes > body.length) {
+                body = Arrays.copyOf(body, Math.min(RequestRules.BODY_MOST, 2 * (length + bytes)));
+            }
+            more.readBytes(body, length, bytes);
+        }
+        length += bytes;
+        return true;
+    }
+
+    // Only at the end of a read is it known whether anything came behind the answer. Guards against a second
+    // copy right behind: with the connection in use again at once, it was taken for the next one's answer.
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (whole != null) {
+            Answer told = whole;
+            whole = null;
+            expecting = false;
+            taker.answered(told, !spoilt && !decoder.leftOver() && HttpUtil.isKeepAlive(head));
+        }
+        context.fireChannelReadComplete();
+    }
+
+    private void spoil() {
+        spoilt = true;
+        body = null;
+        if (whole == null) {
+            taker.spoilt();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        spoil();
+    }
+
+    private final class Decoder extends HttpResponseDecoder {
+        Decoder() {
+            super(new HttpDecoderConfig().setMaxHeaderSize(HEAD_MOST));
+        }
+
+        boolean leftOver() {
+            return actualReadableBytes() > 0;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object part) throws Exception {
+            if (spoilt || !expecting) {
+                ReferenceCountUtil.release(part);   // nobody asked
+                if (!spoilt) {
+                    spoil();
+                }
+                return;
+            }
+            super.channelRead(context, part);
+        }
+
+        // By itself the decoder drops the length and goes on.
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
+        }
+
+        // By itself the decoder takes the first word of a line without a colon for a name.
+        @Override
+        protected AsciiString splitHeaderName(byte[] line, int start, int size) {
+            if (start + size >= line.length || line[start + size] != ':') {
+                throw new IllegalArgumentException("a header without a colon");
+            }
+            return super.splitHeaderName(line, start, size);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/junctionhead/net/Client.java
@@ -0,0 +1,278 @@
+package junctionhead.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One connection of a client: its requests one after the other, each one's answer in turn, and how long it
+ * may take over anything.
+ */
+final class Client extends ChannelInboundHandlerAdapter implements Intake.Taker {
+    // A client is owed an error or a close within 3 s: the look at all clients comes on top of these.
+    private static final long RECEIVE = TimeUnit.MILLISECONDS.toNanos(2_000);   // a whole request
+    private static final long SILENT = TimeUnit.MILLISECONDS.toNanos(2_200);    // before the first one
+    private static final long REST = TimeUnit.MILLISECONDS.toNanos(5_000);      // between two
+    private static final long LINGER = TimeUnit.MILLISECONDS.toNanos(1_000);    // after the last answer
+    private static final long UNREAD = TimeUnit.MILLISECONDS.toNanos(5_000);    // answers that nobody reads
+    private static final int LINGER_BYTES = 64 * 1024;
+    private static final int AHEAD_MOST = 16;       // requests that may be sent ahead
+
+    private record Taken(HttpRequest head, byte[] body) { }
+
+    private final ClientServer server;
+    private final Channel channel;
+    private final Intake intake;
+    private final RequestDecoder decoder = new RequestDecoder();
+    private final ArrayDeque<Taken> ahead = new ArrayDeque<>();
+    private RequestRules.Problem problem;           // the last answer to give, when its turn comes
+    private Runnable gone;                          // set while the module owes an answer here
+    private int charged;                            // bytes of the request that is being answered
+    private boolean serving;                        // a request is being answered
+    private boolean receiving;                      // part of a request has come in
+    private boolean asked;                          // a whole request has come in at some time
+    private boolean ending;                         // the last answer has been written
+    private long since = System.nanoTime();         // the beginning of the receipt, the rest or the ending
+    private long unreadSince;                       // 0: answers leave
+
+    Client(ClientServer server, Channel channel) {
+        this.server = server;
+        this.channel = channel;
+        this.intake = new Intake(this, server.room());
+        channel.pipeline().addLast(new Mark(), decoder, new HttpResponseEncoder(), intake, this);
+    }
+
+    boolean asked() {
+        return asked;
+    }
+
+    /** How long it has been at rest, in ns: nothing is being answered, and nothing has begun to come in. */
+    long restedFor(long now) {
+        return serving || receiving || ending || !ahead.isEmpty() ? -1 : now - since;
+    }
+
+    void close() {
+        channel.close();
+    }
+
+    /** Ends what takes too long. Guards against peers that say nothing, or a byte now and then. */
+    void look(long now) {
+        if (ending) {
+            if (now - since > LINGER) {
+                close();
+            }
+        } else if (receiving && channel.config().isAutoRead() && now - since > RECEIVE) {
+            bad(HttpResponseStatus.REQUEST_TIMEOUT, "too slow");
+        } else if (restedFor(now) > (asked ? REST : SILENT)) {
+            close();
+        }
+        if (channel.isWritable()) {
+            unreadSince = 0;
+        } else if (unreadSince == 0) {
+            unreadSince = now;
+        } else if (now - unreadSince > UNREAD) {
+            close();
+        }
+    }
+
+    void closed() {
+        intake.drop();
+        server.room().give(charged);
+        charged = 0;
+        while (!ahead.isEmpty()) {
+            server.room().give(ahead.poll().body().length);
+        }
+        Runnable left = gone;
+        gone = null;
+        if (left != null) {
+            left.run();
+        }
+    }
+
+    // ---------------------------------------------------------------- what comes in
+
+    @Override
+    public void begun(HttpRequest head) {
+        if (HttpUtil.is100ContinueExpected(head) && !serving) {
+            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+        }
+    }
+
+    @Override
+    public void whole(HttpRequest head, byte[] body) {
+        receiving = false;
+        asked = true;
+        server.room().take(body.length);
+        if (ahead.size() >= AHEAD_MOST) {           // in what had been read already
+            server.room().give(body.length);
+            bad(HttpResponseStatus.BAD_REQUEST, "too many requests sent ahead");
+        } else if (serving || !channel.isWritable()) {
+            ahead.add(new Taken(head, body));
+            // Whoever sends that many ahead is not read until answers have left.
+            channel.config().setAutoRead(ahead.size() < AHEAD_MOST);
+        } else {
+            serve(new Taken(head, body));
+        }
+    }
+
+    @Override
+    public void bad(HttpResponseStatus status, String why) {
+        receiving = false;
+        if (problem == null) {
+            readNoMore(status, why);
+            if (!serving && ahead.isEmpty()) {
+                plain(status, why, false);
+            }
+        }
+    }
+
+    /** Refuses the request that is being served, and with it all that its client sent behind it. */
+    void refuse(HttpResponseStatus status, String why) {
+        while (!ahead.isEmpty()) {
+            server.room().give(ahead.poll().body().length);
+        }
+        if (problem == null) {
+            readNoMore(status, why);
+        }
+        plain(status, why, false);
+    }
+
+    // Guards against hundreds of requests sent at once behind a bad one: they are not even looked at.
+    private void readNoMore(HttpResponseStatus status, String why) {
+        asked = true;
+        intake.drop();
+        problem = new RequestRules.Problem(status, why);
+        channel.pipeline().replace(decoder, null, new Drain());
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (channel.isWritable()) {
+            next();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        close();
+    }
+
+    // ---------------------------------------------------------------- what goes out
+
+    private void serve(Taken request) {
+        serving = true;
+        charged = request.body().length;
+        server.serve(this, request.head(), request.body());
+    }
+
+    /** The module owes an answer from here on; {@code left} runs if the client leaves before it. */
+    void owed(Runnable left) {
+        gone = left;
+    }
+
+    void plain(HttpResponseStatus status, String text, boolean keep) {
+        ByteBuf body = Unpooled.copiedBuffer(text + "\n", StandardCharsets.UTF_8);
+        write(status, body, "text/plain", null, null, keep);
+    }
+
+    /** Writes the answer to the request that is being served; one that can't be kept open ends it. */
+    void write(HttpResponseStatus status, ByteBuf body, String type, String header, String value,
+            boolean keep) {
+        gone = null;
+        server.room().give(charged);
+        charged = 0;
+        boolean stay = keep && !server.isStopping();
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+        if (type != null) {
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+        }
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        if (value != null) {
+            response.headers().set(header, value);
+        }
+        if (!stay) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        var written = channel.writeAndFlush(response);
+        since = System.nanoTime();
+        if (stay) {
+            serving = false;
+            next();
+        } else if (problem == null) {
+            ending = true;
+            written.addListener(ChannelFutureListener.CLOSE);
+        } else {
+            // Closed at once, with bytes unread, the connection would be reset before the answer is read.
+            ending = true;
+            written.addListener(done -> ((SocketChannel) channel).shutdownOutput());
+        }
+    }
+
+    // Later, and not from within: a long line of requests that are answered at once would fill the stack, and
+    // keep all others waiting.
+    private void next() {
+        if (!serving && !ending && (problem != null || !ahead.isEmpty())) {
+            serving = true;
+            channel.eventLoop().execute(() -> {
+                Taken next = ahead.poll();
+                if (!channel.isActive()) {
+                    return;
+                }
+                if (next != null) {
+                    serve(next);
+                } else if (problem != null) {
+                    plain(problem.status(), problem.text(), false);
+                }
+                if (!channel.config().isAutoRead()) {
+                    since = System.nanoTime();      // what had begun to come in was kept waiting here
+                    channel.config().setAutoRead(true);
+                }
+            });
+        }
+    }
+
+    /** Notes that a request has begun to come in: its connection is not at rest, and its time runs. */
+    private final class Mark extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object part) {
+            if (!receiving && !ending) {
+                receiving = true;
+                since = System.nanoTime();
+            }
+            context.fireChannelRead(part);
+        }
+    }
+
+    /** Takes what a refused client still sends, for a while, and keeps none of it. */
+    private final class Drain extends ChannelInboundHandlerAdapter {
+        private long bytes;
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object part) {
+            bytes += part instanceof ByteBuf some ? some.readableBytes() : 0;
+            ReferenceCountUtil.release(part);
+            if (ending && bytes > LINGER_BYTES) {
+                close();
+            }
+        }
+    }
+}
--- a/src/main/java/junctionhead/net/ClientServer.java
+++ b/src/main/java/junctionhead/net/ClientServer.java
@@ -1,63 +1,45 @@
 package junctionhead.net;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.stream.Stream;
-import junctionhead.Policy;
 import junctionhead.SettingsReader;
 
-/** The HTTP side to the clients: takes requests, turns bad ones away, and writes each one's final answer. */
+/** The side to the clients: takes connections, hands requests over, and words each one's final answer. */
 final class ClientServer {
-    static final String DEADLINE = "Req-Deadline-Ms";
     private static final int BACKLOG = 1024;
-    private static final int PIPELINED_MOST = 16;   // requests that a client may send ahead on a connection
-    private static final Set<String> HOP_BY_HOP = Set.of("connection", "keep-alive", "proxy-connection",
-        "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade",
-        "expect", "content-length", DEADLINE.toLowerCase(Locale.ROOT));
+    private static final long LOOK_MS = 200;        // between looks at what takes too long
+    private static final long LONG_REST = TimeUnit.SECONDS.toNanos(1);
+    private static final long ROOM = 6 << 20;       // bytes of bodies of clients held together
 
     private final EventLoop loop;
     private final SettingsReader.Boot boot;
     private final Dispatcher dispatcher;
     private final Descriptors descriptors;
     private final BooleanSupplier shedIdleUpstream;
-    private final Set<Client> idle = new LinkedHashSet<>(); // the longest idle first
+    private final Room room = new Room(ROOM);
+    private final Set<Client> clients = new LinkedHashSet<>();  // the oldest first
     private Channel listener;
     private boolean ready;
     private boolean stopping;
+    private boolean makingRoom;
     private Rehearsal rehearsal;                    // while it is on
 
     ClientServer(EventLoop loop, SettingsReader.Boot boot, Dispatcher dispatcher, Descriptors descriptors,
@@ -86,12 +68,10 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        Client client = new Client(channel);
-                        channel.pipeline().addLast(new HttpServerCodec(), client.new Mark(),
-                            new HttpObjectAggregator(Upstreams.BODY_MOST), client);
-                        client.opened();
+                        opened(channel);
                     }
                 }).bind(at).sync().channel();
+            loop.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
             return (InetSocketAddress) bound.localAddress();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -114,153 +94,123 @@
         stopping = true;
     }
 
+    boolean isStopping() {
+        return stopping;
+    }
+
+    Room room() {
+        return room;
+    }
+
     /** Takes no more connections and drops those that hold no request. */
     void close() {
         listener.close();
-        List.copyOf(idle).forEach(c -> c.channel.close());
+        long now = System.nanoTime();
+        List.copyOf(clients).stream().filter(c -> c.restedFor(now) >= 0).forEach(Client::close);
     }
 
-    // Makes room before an accept can fail. Guards against the end of the descriptors: first go connections
-    // that nobody needs, then those of clients at rest, and at last new ones wait in the backlog.
-    private void makeRoom() {
-        while (descriptors.full() && shedIdleUpstream.getAsBoolean()) {
-            continue;
-        }
-        if (descriptors.full() && !idle.isEmpty()) {
-            idle.iterator().next().channel.close();
-        }
-        listener.config().setAutoRead(!descriptors.full());
+    // ---------------------------------------------------------------- connections
+
+    private void opened(Channel channel) {
+        Client client = new Client(this, channel);
+        descriptors.clientOpened();
+        makeRoom();
+        clients.add(client);
+        channel.closeFuture().addListener(closed -> {
+            descriptors.clientClosed();
+            clients.remove(client);
+            client.closed();
+            makeRoom();
+        });
     }
 
-    /** One connection of a client. */
-    private final class Client extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private final Channel channel;
-        private final ArrayDeque<FullHttpRequest> ahead = new ArrayDeque<>();
-        private Runnable gone;                      // set while the module owes an answer here
-        private boolean receiving;
+    private void look() {
+        long now = System.nanoTime();
+        List.copyOf(clients).forEach(c -> c.look(now));
+        makeRoom();
+    }
 
-        Client(Channel channel) {
-            this.channel = channel;
+    // Makes room before an accept can fail. Guards against the end of the descriptors, and against clients
+    // that take them all and leave none for the upstreams: at last new connections wait in the backlog.
+    private void makeRoom() {
+        if (makingRoom) {
+            return;                                 // what it closes tells of its end here
         }
-
-        void opened() {
-            descriptors.opened();
-            idle.add(this);
-            channel.closeFuture().addListener(closed -> {
-                descriptors.closed();
-                idle.remove(this);
-                ahead.forEach(FullHttpRequest::release);
-                ahead.clear();
-                if (gone != null) {
-                    gone.run();
-                }
-                if (!stopping) {
-                    makeRoom();
-                }
-            });
-            makeRoom();
+        makingRoom = true;
+        boolean room = true;
+        while (descriptors.crowded() && room) {
+            room = shed();
         }
-
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-            receiving = false;
-            if (gone != null) {
-                ahead.add(request.retain());
-                if (ahead.size() > PIPELINED_MOST) {
-                    channel.close();
-                }
-            } else {
-                handle(request);
-            }
+        makingRoom = false;
+        if (listener.isOpen()) {
+            listener.config().setAutoRead(!descriptors.crowded());
         }
+    }
 
-        private void handle(FullHttpRequest request) {
-            idle.remove(this);
-            boolean keep = HttpUtil.isKeepAlive(request);
-            String path = request.uri();
-            if (!request.decoderResult().isSuccess()) {
-                plain(HttpResponseStatus.BAD_REQUEST, "malformed request", false);
-            } else if (rehearsal != null && path.equals(Rehearsal.HOP)) {
-                boolean declined = rehearsal.declines();
-                write(declined ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK,
-                    Unpooled.wrappedBuffer(new byte[256]), null, declined ? "Srv-Declined" : "Srv-Load",
-                    declined ? "1" : "TEXT eps=0.1, latency_ms=14.5, inflight=2", keep);
-            } else if (path.startsWith("/-/") && (rehearsal == null || !path.equals(Rehearsal.PATH))) {
-                boolean asked = path.equals("/-/ready") && request.method().equals(HttpMethod.GET);
-                HttpResponseStatus status = !asked ? HttpResponseStatus.NOT_FOUND
-                    : ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
-                plain(status, !asked ? "not found" : ready ? "ready" : "not ready", keep);
-            } else {
-                Order order;
-                try {
-                    order = order(request);
-                } catch (IllegalArgumentException e) {
-                    plain(HttpResponseStatus.BAD_REQUEST, e.getMessage(), keep);
-                    return;
-                }
-                Answer answer = new Answer(this, keep);
-                gone = () -> { };
-                Runnable leave = path.equals(Rehearsal.PATH)
-                    ? rehearsal.dispatcher().take(order.to(Rehearsal.HOP), answer)
-                    : dispatcher.take(order, answer);
-                if (!answer.given) {
-                    gone = leave;
-                }
+    /**
+     * Closes a connection that is needed least; false where all are in use. Clients that have never asked go
+     * first: a few hundred of them, opened at once, shut everybody else out, and had the connections to the
+     * upstreams closed one by one. Then go clients that have long been at rest.
+     */
+    boolean shed() {
+        long now = System.nanoTime();
+        Client longest = null;
+        long most = -1;
+        for (Client client : clients) {
+            long rest = client.restedFor(now);
+            if (rest >= 0 && !client.asked()) {
+                client.close();
+                return true;
+            }
+            if (rest > most) {
+                most = rest;
+                longest = client;
             }
         }
-
-        private void plain(HttpResponseStatus status, String text, boolean keep) {
-            ByteBuf body = Unpooled.copiedBuffer(text + "\n", StandardCharsets.UTF_8);
-            write(status, body, "text/plain", null, null, keep);
+        if (most < LONG_REST && shedIdleUpstream.getAsBoolean()) {
+            return true;
+        }
+        if (longest != null) {
+            longest.close();
         }
+        return longest != null;
+    }
 
-        private void write(HttpResponseStatus status, ByteBuf body, String type, String header,
-                String value, boolean keep) {
-            gone = null;
-            boolean stay = keep && !stopping;
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
-            if (type != null) {
-                response.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
-            }
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-            if (value != null) {
-                response.headers().set(header, value);
-            }
-            if (!stay) {
-                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            }
-            var written = channel.writeAndFlush(response);
-            if (!stay) {
-                written.addListener(ChannelFutureListener.CLOSE);
+    // ---------------------------------------------------------------- requests
+
+    void serve(Client client, HttpRequest request, byte[] body) {
+        boolean keep = HttpUtil.isKeepAlive(request);
+        String path = request.uri();
+        boolean rehearsing = rehearsal != null && rehearsal.knows(request.headers());
+        if (rehearsing && path.equals(Rehearsal.HOP)) {
+            boolean declined = rehearsal.declines();
+            client.write(declined ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK,
+                Unpooled.wrappedBuffer(new byte[256]), null, declined ? "Srv-Declined" : "Srv-Load",
+                declined ? "1" : "TEXT eps=0.1, latency_ms=14.5, inflight=2", keep);
+        } else if (path.startsWith("/-/") && !(rehearsing && path.equals(Rehearsal.PATH))) {
+            boolean asked = path.equals("/-/ready") && request.method().equals(HttpMethod.GET);
+            HttpResponseStatus status = !asked ? HttpResponseStatus.NOT_FOUND
+                : ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+            client.plain(status, !asked ? "not found" : ready ? "ready" : "not ready", keep);
+        } else {
+            Order order;
+            try {
+                order = RequestRules.order(request, body, boot);
+            } catch (IllegalArgumentException e) {
+                client.refuse(HttpResponseStatus.BAD_REQUEST, e.getMessage());
                 return;
             }
-            FullHttpRequest next = ahead.poll();
-            if (next == null) {
-                if (channel.isActive() && !receiving) {
-                    idle.add(this);
-                }
+            Dispatcher to = path.equals(Rehearsal.PATH) ? rehearsal.dispatcher() : dispatcher;
+            if (to.holds(order.id())) {
+                // An upstream could not tell the two apart, and might answer one with the other's.
+                client.refuse(HttpResponseStatus.CONFLICT, "a request with this Req-Id is open");
                 return;
             }
-            loop.execute(() -> {
-                if (channel.isActive()) {
-                    handle(next);
-                }
-                next.release();
-            });
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            channel.close();
-        }
-
-        /** Notes that a request has begun to come in: its connection is not at rest. */
-        private final class Mark extends ChannelInboundHandlerAdapter {
-            @Override
-            public void channelRead(ChannelHandlerContext context, Object part) {
-                receiving = true;
-                idle.remove(Client.this);
-                context.fireChannelRead(part);
+            Answer answer = new Answer(client, keep);
+            Runnable leave =
+                to.take(path.equals(Rehearsal.PATH) ? order.to(Rehearsal.HOP) : order, answer);
+            if (!answer.given) {
+                client.owed(leave);
             }
         }
     }
@@ -277,10 +227,10 @@
         }
 
         @Override
-        public void serve(FullHttpResponse answer) {
+        public void serve(AnswerReader.Answer answer) {
             given = true;
-            client.write(HttpResponseStatus.OK, answer.content().retain(),
-                answer.headers().get(HttpHeaderNames.CONTENT_TYPE), null, null, keep);
+            client.write(HttpResponseStatus.OK, Unpooled.wrappedBuffer(answer.body()), answer.type(), null,
+                null, keep);
         }
 
         @Override
@@ -298,50 +248,4 @@
             client.plain(HttpResponseStatus.BAD_GATEWAY, "failed", keep);
         }
     }
-
-    // ---------------------------------------------------------------- reading a request
-
-    private Order order(FullHttpRequest request) {
-        HttpHeaders headers = request.headers();
-        if (headers.get("Req-Id", "").isEmpty()) {
-            throw new IllegalArgumentException("no Req-Id");
-        }
-        int number = boot.classes().indexOf(headers.get("Req-Kind", ""));
-        if (number < 0) {
-            throw new IllegalArgumentException("unknown Req-Kind");
-        }
-        Policy.Effect effect = boot.settings().classes().get(number).effect();
-        HttpMethod method = effect == Policy.Effect.SAFE ? HttpMethod.GET : HttpMethod.POST;
-        boolean keyed = headers.contains("Idempotency-Key");
-        if (!request.method().equals(method) || keyed != (effect == Policy.Effect.KEYED)) {
-            throw new IllegalArgumentException("method or Idempotency-Key contradicts the Req-Kind");
-        }
-        long left = number(headers.get(DEADLINE), -1);
-        if (left <= 0) {
-            throw new IllegalArgumentException("no or bad " + DEADLINE);
-        }
-        String path = request.uri().split("[?#]", 2)[0];
-        String key = path.substring(path.lastIndexOf('/') + 1);
-        int tenant = Math.max(0, boot.tenants().indexOf(headers.get("Req-Owner", "")));
-        return new Order(request.method(), request.uri(), endToEnd(headers),
-            ByteBufUtil.getBytes(request.content()), number, tenant, key.isEmpty() ? null : key, left * 1000,
-            number(headers.get("Req-Cost"), -1), "1".equals(headers.get("Req-Retry")));
-    }
-
-    private static long number(String text, long otherwise) {
-        return text != null && text.strip().matches("\\d{1,12}") ? Long.parseLong(text.strip()) : otherwise;
-    }
-
-    private static HttpHeaders endToEnd(HttpHeaders headers) {
-        HttpHeaders kept = new DefaultHttpHeaders();
-        Set<String> named = Set.copyOf(headers.getAll(HttpHeaderNames.CONNECTION).stream()
-            .flatMap(v -> Stream.of(v.toLowerCase(Locale.ROOT).split("\\s*,\\s*"))).distinct().toList());
-        for (Map.Entry<String, String> header : headers) {
-            String name = header.getKey().toLowerCase(Locale.ROOT);
-            if (!HOP_BY_HOP.contains(name) && !named.contains(name)) {
-                kept.add(header.getKey(), header.getValue());
-            }
-        }
-        return kept;
-    }
 }
--- a/src/main/java/junctionhead/net/Dispatcher.java
+++ b/src/main/java/junctionhead/net/Dispatcher.java
@@ -1,12 +1,13 @@
 package junctionhead.net;
 
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.FullHttpResponse;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -27,8 +28,8 @@
 
     /** Where the one final answer to a request goes. */
     interface Reply {
-        /** Served: passes the upstream's body on; the caller keeps the response. */
-        void serve(FullHttpResponse answer);
+        /** Served: passes the upstream's body on. */
+        void serve(AnswerReader.Answer answer);
 
         void refuse(long retryAfter);
 
@@ -76,6 +77,7 @@
     private final long unixAtStart = System.currentTimeMillis() * 1000;
     private final long nanosAtStart = System.nanoTime();
     private final Map<String, Exchange> table = new HashMap<>();
+    private final Set<String> ids = new HashSet<>();    // clients' own names of what is in the table
     private final ArrayDeque<LongConsumer> waiting = new ArrayDeque<>();
     private Upstreams upstreams;
     private Discovery discovery;
@@ -138,6 +140,7 @@
         String id = Long.toString(++taken, Character.MAX_RADIX);
         Exchange x = new Exchange(id, order, reply, now() + order.timeLeft());
         table.put(id, x);
+        ids.add(order.id());
         owed++;
         x.guard = loop.schedule(() -> lastResort(x), Math.max(0, order.timeLeft() - GUARD),
             TimeUnit.MICROSECONDS);
@@ -146,6 +149,11 @@
         return () -> gone(x);
     }
 
+    /** Whether a request by that name of its client's is open, or an attempt of it. */
+    boolean holds(String id) {
+        return ids.contains(id);
+    }
+
     private void gone(Exchange x) {
         if (!x.closed) {
             close(x);
@@ -184,11 +192,13 @@
 
     private void forget(Exchange x) {
         if (x.closed && x.out == 0) {
-            table.remove(x.id);
+            if (table.remove(x.id) != null) {
+                ids.remove(x.order.id());
+            }
         }
     }
 
-    private void ended(Attempt a, Policy.Outcome outcome, FullHttpResponse answer, Policy.Load load) {
+    private void ended(Attempt a, Policy.Outcome outcome, AnswerReader.Answer answer, Policy.Load load) {
         if (a.ended) {
             return;
         }
--- a/src/main/java/junctionhead/net/Node.java
+++ b/src/main/java/junctionhead/net/Node.java
@@ -43,6 +43,7 @@
         discovery = new Discovery(loop, config.discovery(), config.boot(), config.known().rev(),
             this::listed, log);
         clients = new ClientServer(loop, config.boot(), dispatcher, descriptors, upstreams::shedIdle);
+        upstreams.shedBy(clients::shed);
         dispatcher.attach(upstreams, discovery);
     }
 
--- a/src/main/java/junctionhead/net/Rehearsal.java
+++ b/src/main/java/junctionhead/net/Rehearsal.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import junctionhead.Balance;
 import junctionhead.Policy;
@@ -22,6 +23,7 @@
     /** The path of its requests, and the one on which they come back to this node as an upstream. */
     static final String PATH = "/-/rehearsal";
     static final String HOP = "/-/rehearsed";
+    private static final String TOKEN = "Rehearsal";    // a header with what no stranger knows
 
     private static final int REQUESTS = 3_000;
     private static final int AT_ONCE = 8;
@@ -33,6 +35,7 @@
     private final EventLoop loop;
     private final SettingsReader.Boot boot;
     private final Runnable then;
+    private final String token;
     private final Dispatcher dispatcher;
     private final Upstreams back;
     private final Upstreams front;
@@ -46,6 +49,7 @@
         this.loop = loop;
         this.boot = config.boot();
         this.then = then;
+        this.token = Long.toHexString(new SplittableRandom(config.seed() ^ System.nanoTime()).nextLong());
         Policy policy = new Balance(boot.settings(), config.seed());
         dispatcher = new Dispatcher(loop, boot, policy, line -> { });
         Descriptors descriptors = new Descriptors(config.sockets());
@@ -58,6 +62,11 @@
         return dispatcher;
     }
 
+    /** Whether a request is one of its own. */
+    boolean knows(HttpHeaders headers) {
+        return token.equals(headers.get(TOKEN));
+    }
+
     void start(InetSocketAddress self) {
         List<Targets.Target> targets = new ArrayList<>();
         for (int i = 0; i < SERVERS; i++) {
@@ -86,14 +95,15 @@
         }
         int number = begun++ % boot.classes().size();
         Policy.Effect effect = boot.settings().classes().get(number).effect();
-        HttpHeaders headers = new DefaultHttpHeaders().set("Req-Id", "rehearsal-" + begun)
+        HttpHeaders headers = new DefaultHttpHeaders().set(TOKEN, token).set("Req-Id", "rehearsal-" + begun)
             .set("Req-Kind", boot.classes().get(number)).set("Req-Cost", Integer.toString(begun));
         if (effect == Policy.Effect.KEYED) {
             headers.set("Idempotency-Key", "rehearsal-" + begun);
         }
         HttpMethod method = effect == Policy.Effect.SAFE ? HttpMethod.GET : HttpMethod.POST;
         byte[] body = new byte[effect == Policy.Effect.SAFE ? 0 : 200];
-        Order order = new Order(method, PATH, headers, body, number, 0, null, WAIT, -1, false);
+        Order order = new Order("rehearsal-" + begun, method, PATH, headers, body, number, 0, null, WAIT, -1,
+            false);
         front.send("rehearsal-0", order, WAIT, (outcome, answer, load) -> {
             ended++;
             if (ended >= REQUESTS) {
--- /dev/null
+++ b/src/main/java/junctionhead/net/RequestDecoder.java
@@ -0,0 +1,22 @@
+package junctionhead.net;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+
+/** Reads requests strictly: where two readers could differ about where a request ends, it is not read. */
+final class RequestDecoder extends HttpRequestDecoder {
+    private static final int LINE_MOST = 4 * 1024;
+    private static final int HEAD_MOST = 8 * 1024;
+
+    RequestDecoder() {
+        super(new HttpDecoderConfig().setMaxInitialLineLength(LINE_MOST).setMaxHeaderSize(HEAD_MOST));
+    }
+
+    // By itself the decoder drops the length and goes on: an upstream that went by the length instead would
+    // find another request inside the body of this one.
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+        throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
+    }
+}
--- a/src/main/java/junctionhead/net/Upstreams.java
+++ b/src/main/java/junctionhead/net/Upstreams.java
@@ -4,21 +4,16 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
@@ -30,6 +25,7 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import junctionhead.LoadReport;
 import junctionhead.Policy;
@@ -38,15 +34,14 @@
 
 /** The connections to the upstreams, one request at a time on each, and what becomes of each request. */
 final class Upstreams {
-    static final int BODY_MOST = 64 * 1024;
     private static final double IDLE_SHARE = 0.5;   // of the time after which upstreams close an idle one
     private static final long DRAIN_MARGIN = 50_000; // µs before the grace is over: the clock is not shared
     private static final long FORGET = 60_000_000;  // µs after its grace that a stopped upstream is kept
     private static final int CONNECT_MS = 1_000;    // where the settings give no limit
 
-    /** How a request to an upstream ended; {@code answer} is null but for OK, and the caller's to release. */
+    /** How a request to an upstream ended; {@code answer} is null where none came. */
     interface Listener {
-        void ended(Outcome outcome, FullHttpResponse answer, Policy.Load load);
+        void ended(Outcome outcome, AnswerReader.Answer answer, Policy.Load load);
     }
 
     private static final class Upstream {
@@ -67,7 +62,8 @@
     private final Bootstrap bootstrap;
     private final long idleMost;
     private final Map<String, Upstream> upstreams = new HashMap<>();
-    private Future<?> sweep;
+    private final Future<?> sweep;
+    private BooleanSupplier shed = this::shedIdle;
 
     Upstreams(EventLoop loop, SettingsReader.Boot boot, Descriptors descriptors,
             LongSupplier clock) {
@@ -79,10 +75,13 @@
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis());
-        if (idleMost < Long.MAX_VALUE) {
-            long every = Math.max(10_000, Math.min(1_000_000, idleMost / 10));
-            sweep = loop.scheduleWithFixedDelay(this::closeOld, every, every, TimeUnit.MICROSECONDS);
-        }
+        long every = Math.max(10_000, Math.min(1_000_000, idleMost / 10));
+        sweep = loop.scheduleWithFixedDelay(this::closeOld, every, every, TimeUnit.MICROSECONDS);
+    }
+
+    /** {@code by} makes room for a connection where all descriptors are in use, if it can. */
+    void shedBy(BooleanSupplier by) {
+        shed = by;
     }
 
     private int connectMillis() {
@@ -127,8 +126,8 @@
 
     /** Asks an upstream how it is; gives up after the time that a connection may take. */
     void probe(String server, boolean report, Listener listener) {
-        Order order = new Order(HttpMethod.GET, report ? "/-/load" : "/-/healthy", EmptyHttpHeaders.INSTANCE,
-            new byte[0], -1, 0, null, 0, -1, false);
+        Order order = new Order("", HttpMethod.GET, report ? "/-/load" : "/-/healthy",
+            EmptyHttpHeaders.INSTANCE, new byte[0], -1, 0, null, 0, -1, false);
         Call call = new Call(order, 0, listener);
         call.timer = loop.schedule(() -> {
             boolean asked = call.giveUp();
@@ -157,7 +156,7 @@
     }
 
     private void dial(Upstream u, Call call) {
-        if (descriptors.full() && !shedIdle()) {
+        if (descriptors.full() && !shed.getAsBoolean()) {
             call.end(Outcome.CONNECT_FAILED, null, null);
             return;
         }
@@ -168,8 +167,8 @@
         ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(BODY_MOST),
-                    connection);
+                channel.pipeline().addLast(new HttpRequestEncoder(), connection.reader.decoder(),
+                    connection.reader);
             }
         }).connect(u.endpoint);
         connection.channel = connected.channel();
@@ -220,9 +219,7 @@
 
     /** Closes all that is idle, now and from here on. */
     void close() {
-        if (sweep != null) {
-            sweep.cancel(false);
-        }
+        sweep.cancel(false);
         for (Upstream u : upstreams.values()) {
             u.stopAt = Long.MIN_VALUE;
             closeIdle(u);
@@ -281,7 +278,7 @@
             return mayHaveRun;
         }
 
-        private void end(Outcome outcome, FullHttpResponse answer, Policy.Load load) {
+        private void end(Outcome outcome, AnswerReader.Answer answer, Policy.Load load) {
             if (timer != null) {
                 timer.cancel(false);
             }
@@ -301,7 +298,7 @@
                     to.getAddress().getHostAddress() + ":" + to.getPort());
             }
             if (waitMillis > 0) {
-                message.headers().set(ClientServer.DEADLINE, Long.toString(waitMillis));
+                message.headers().set(RequestRules.DEADLINE, Long.toString(waitMillis));
             }
             if (order.body().length > 0 || !order.method().equals(HttpMethod.GET)) {
                 HttpUtil.setContentLength(message, order.body().length);
@@ -311,8 +308,10 @@
     }
 
     /** One connection; it carries one request at a time, and is idle where {@code call} is null. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class Connection implements AnswerReader.Taker {
         private final Upstream upstream;
+        private final InetSocketAddress endpoint;
+        private final AnswerReader reader = new AnswerReader(this);
         private Channel channel;
         private Call call;
         private boolean begun;                      // some of the request may have been written
@@ -321,6 +320,7 @@
 
         Connection(Upstream upstream) {
             this.upstream = upstream;
+            this.endpoint = upstream.endpoint;
         }
 
         boolean usable() {
@@ -332,7 +332,8 @@
             next.connection = this;
             begun = true;
             written = false;
-            channel.writeAndFlush(next.message(upstream.endpoint)).addListener(done -> {
+            reader.expect();
+            channel.writeAndFlush(next.message(endpoint)).addListener(done -> {
                 if (call == next) {
                     written = done.isSuccess();
                     if (!written) {
@@ -347,14 +348,15 @@
             begun = false;
             written = false;
             idleSince = clock.getAsLong();
-            if (upstream.stopAt < Long.MAX_VALUE) {
+            // Another address now: who listens at the old one is another upstream, if any.
+            if (upstream.stopAt < Long.MAX_VALUE || !endpoint.equals(upstream.endpoint)) {
                 close();
             } else {
                 upstream.idle.addLast(this);
             }
         }
 
-        void finish(Outcome outcome, FullHttpResponse answer, Policy.Load load) {
+        void finish(Outcome outcome, AnswerReader.Answer answer, Policy.Load load) {
             Call ending = call;
             call = null;
             if (ending != null) {
@@ -367,31 +369,27 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
-            if (answer.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-                return;                             // the answer itself is still to come
-            }
+        public void answered(AnswerReader.Answer answer, boolean usable) {
             Call answered = call;
-            if (answered == null || !answer.decoderResult().isSuccess()) {
-                close();                            // nobody asked, or it can't be read: see closed()
-                return;
-            }
             call = null;
             // Back among the idle before the module hears of it: its next send may want this one.
-            if (written && HttpUtil.isKeepAlive(answer)) {
+            if (written && usable && answered != null) {
                 rest();
             } else {
                 close();
             }
+            if (answered == null) {
+                return;
+            }
             String report = answer.headers().get("Srv-Load");
             if (report == null && answered.waitMillis == 0) {
-                report = answer.content().toString(StandardCharsets.UTF_8);     // of a probe
+                report = new String(answer.body(), StandardCharsets.UTF_8);     // of a probe
             }
             answered.end(classify(answer), answer, LoadReport.parse(report));
         }
 
         @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        public void spoilt() {
             close();                                // what became of the request is told in closed()
         }
 
@@ -404,8 +402,8 @@
     }
 
     // Turned away unseen only where the upstream says so itself; any other failure may have run.
-    private static Outcome classify(FullHttpResponse answer) {
-        int status = answer.status().code();
+    private static Outcome classify(AnswerReader.Answer answer) {
+        int status = answer.status();
         if (status == 200) {
             return Outcome.OK;
         }
