--- a/src/main/java/junctionhead/net/Client.java
+++ b/src/main/java/junctionhead/net/Client.java
@@ -19,7 +19,6 @@
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 /**
