--- a/src/main/java/junctionhead/net/Node.java
+++ b/src/main/java/junctionhead/net/Node.java
@@ -27,6 +27,7 @@
     private final ClientServer clients;
     private final Config config;
     private final CountDownLatch stopped = new CountDownLatch(1);
+    private final CountDownLatch readied = new CountDownLatch(1);
     private boolean hasList;
     private boolean rehearsed;
 
@@ -97,6 +98,10 @@
         return at;
     }
 
+    boolean awaitReady(long millis) throws InterruptedException {
+        return readied.await(millis, TimeUnit.MILLISECONDS);
+    }
+
     EventLoop loop() {
         return loop;
     }
@@ -133,6 +138,7 @@
     private void readyIfSo() {
         if (hasList && rehearsed) {
             clients.ready();
+            readied.countDown();
         }
     }
 
--- a/src/main/java/junctionhead/net/Rehearsal.java
+++ b/src/main/java/junctionhead/net/Rehearsal.java
@@ -25,7 +25,7 @@
     static final String HOP = "/-/rehearsed";
     private static final String TOKEN = "Rehearsal";    // a header with what no stranger knows
 
-    private static final int REQUESTS = 3_000;
+    private static final int REQUESTS = 300;
     private static final int AT_ONCE = 8;
     private static final int DECLINED = 3;          // every third is turned away in the last part
     private static final int SERVERS = 8;
