Connections that only linger after their last answer make room first

A guess from the code, ClientServer.shed: connections that linger for 1 s after a refusal, or hold half a request, could not be closed for room, so that accepts stopped. Now they go first, with those that never asked.

--- a/src/main/java/junctionhead/net/ClientServer.java
+++ b/src/main/java/junctionhead/net/ClientServer.java
@@ -158,7 +158,7 @@
         long most = -1;
         for (Client client : clients) {
             long rest = client.restedFor(now);
-            if (rest >= 0 && !client.asked()) {
+            if (client.owedNothing()) {
                 client.close();
                 return true;
             }
