--- a/src/main/java/junctionhead/net/Client.java
+++ b/src/main/java/junctionhead/net/Client.java
@@ -59,9 +59,8 @@
         channel.pipeline().addLast(new Mark(), decoder, new HttpResponseEncoder(), intake, this);
     }
 
-    /** It has its last answer and only lingers, or has never asked for anything whole. */
-    boolean owedNothing() {
-        return ending || !asked && !serving;
+    boolean asked() {
+        return asked;
     }
 
     /** How long it has been at rest, in ns: nothing is being answered, and nothing has begun to come in. */
--- a/src/main/java/junctionhead/net/ClientServer.java
+++ b/src/main/java/junctionhead/net/ClientServer.java
@@ -158,7 +158,7 @@
         long most = -1;
         for (Client client : clients) {
             long rest = client.restedFor(now);
-            if (client.owedNothing()) {
+            if (rest >= 0 && !client.asked()) {
                 client.close();
                 return true;
             }
