A last answer has half a second to be read before its connection goes for room

Cause, found on reading the change again: a connection after its last answer could be ended for a newcomer's sake after 50 ms; over a slow line the answer may still be on its way then, and would be cut.

Change: 0.5 s. Checked: the new unit test is red with 50 ms; 278 tests pass.

--- a/src/main/java/junctionhead/connections/Budget.java
+++ b/src/main/java/junctionhead/connections/Budget.java
@@ -20,7 +20,7 @@
     private static final double DITHER = 0.2;       // spreads the line between staying and ending
     private static final double GOLDEN = 0.6180339887498949;
     private static final double HEADROOM = 1.25;    // on what a side needed lately
-    private static final long LINGER_LEAST = 50_000_000;    // for the last answer to be read
+    private static final long LINGER_LEAST = 500_000_000;   // for the last answer to be read
     private static final long LINGER_MOST = 1_000_000_000;
     private static final double ASKS = 6;           // fair: so many times as long as clients take to ask
     private static final double ASK_MEMORY = 32;    // clients
--- a/src/test/java/junctionhead/connections/BudgetTest.java
+++ b/src/test/java/junctionhead/connections/BudgetTest.java
@@ -202,6 +202,23 @@
         assertEquals(0, budget.open(Side.CLIENT), "told twice, counted once");
     }
 
+    /** A last answer that is still on its way must not be cut off for a newcomer's sake. */
+    @Test
+    void aLastAnswerHasTimeToBeReadBeforeItsConnectionGoesForRoom() {
+        Lease last = client("slow", "slow");
+        budget.asked(last, now);
+        budget.answered(last, false, false, now);
+        fillClients("crowd");
+        now += 400 * MS;
+        budget.makeRoom(Side.CLIENT, now);
+        assertFalse(ended.contains("slow"));
+        fillClients("crowd");
+        now += 200 * MS;
+        ended.clear();
+        assertTrue(budget.makeRoom(Side.CLIENT, now));
+        assertEquals(List.of("slow"), ended);
+    }
+
     /** A connection with more of its client's on it goes on, whatever the pressure. */
     @Test
     void whatHasComeInIsNotLostAtTheEndOfAnAnswer() {
