Netty 4.2.18: chunk sizes that overflow no longer hide a request in a body

Versions come from the BOM; the event loop group is the one that 4.2 has in place of NioEventLoopGroup, and the number of accepts in a turn is set at the listener, as the option is deprecated.

--- a/src/main/java/junctionhead/net/ClientServer.java
+++ b/src/main/java/junctionhead/net/ClientServer.java
@@ -69,10 +69,10 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         listener = channel;
+                        channel.config().setRecvByteBufAllocator(
+                            new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS));
                     }
                 })
-                .option(ChannelOption.RCVBUF_ALLOCATOR,
-                    new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS))
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
--- a/src/main/java/junctionhead/net/Node.java
+++ b/src/main/java/junctionhead/net/Node.java
@@ -1,7 +1,9 @@
 package junctionhead.net;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Map;
@@ -21,7 +23,8 @@
     private static final long FLUSH_MS = 20;        // for the last answers to leave
 
     private final Consumer<String> log;
-    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final EventLoopGroup group =
+        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final Dispatcher dispatcher;
     private final Upstreams upstreams;
