--- a/src/main/java/junctionhead/Main.java
+++ b/src/main/java/junctionhead/Main.java
@@ -9,7 +9,7 @@
 import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
-import junctionhead.net.Node;
+import junctionhead.node.Node;
 
 /** Starts a real balancer, or the adapter on standard input and output. */
 public final class Main {
--- a/src/main/java/junctionhead/SettingsReader.java
+++ b/src/main/java/junctionhead/SettingsReader.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.BiFunction;
+import java.util.stream.Collectors;
 import junctionhead.Policy.Settings;
 
 /**
@@ -46,6 +47,29 @@
         }
     }
 
+    /** The names of the simulator's wire: paths joined by dots, lists of plain values by commas. */
+    public static void flatten(String path, Object value, Map<String, String> into) {
+        if (value instanceof Map<?, ?> map) {
+            map.forEach((k, v) -> flatten(path.isEmpty() ? k.toString() : path + "." + k, v, into));
+        } else if (value instanceof List<?> list) {
+            if (list.stream().anyMatch(Map.class::isInstance)) {
+                into.put(path + ".count", Integer.toString(list.size()));
+                for (int i = 0; i < list.size(); i++) {
+                    flatten(path + "." + i, list.get(i), into);
+                }
+            } else {
+                into.put(path, list.stream().map(SettingsReader::plain).collect(Collectors.joining(",")));
+            }
+        } else if (value != null) {
+            into.put(path, plain(value));
+        }
+    }
+
+    /** A value as it stands on the wire, where spaces and commas within values are replaced. */
+    public static String plain(Object value) {
+        return String.valueOf(value).replace(' ', '_').replace(',', '_');
+    }
+
     private List<String> list(String path) {
         String value = text(path, "");
         return value.isEmpty() ? List.of() : List.of(value.split(","));
--- a/src/main/java/junctionhead/net/Config.java
+++ b/src/main/java/junctionhead/config/Config.java
@@ -1,37 +1,37 @@
-package junctionhead.net;
+package junctionhead.config;
 
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.stream.Collectors;
 import junctionhead.SettingsReader;
+import junctionhead.core.Addresses;
+import junctionhead.core.Targets;
+import junctionhead.membership.TargetsReader;
 
 /** What a balancer is told at its start, by its environment and its configuration file. */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        Targets known, SettingsReader.Boot boot) {
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+        int sockets, Targets known, SettingsReader.Boot boot) {
     private static final Path LIMITS = Path.of("/proc/self/limits");
     private static final int SOCKETS = 1024;        // assumed where neither file nor system tells
 
     /** What is wrong with the configuration, in one line. */
-    static final class Bad extends RuntimeException {
+    public static final class Bad extends RuntimeException {
         private static final long serialVersionUID = 1L;
 
-        Bad(String message) {
+        public Bad(String message) {
             super(message);
         }
     }
 
     /** Reads the file that {@code ROUTER_CONFIG} names; the other variables win over what it says. */
-    static Config read(Map<String, String> environment) {
+    public static Config read(Map<String, String> environment) {
         String file = environment.get("ROUTER_CONFIG");
         if (file == null || file.isBlank()) {
             throw new Bad("ROUTER_CONFIG is not set");
@@ -48,13 +48,13 @@
     }
 
     /** Reads the file anew: where it names another discovery, that is the one to use from here on. */
-    static Config again(Map<String, String> environment) {
+    public static Config again(Map<String, String> environment) {
         Map<String, String> others = new HashMap<>(environment);
         others.remove("ROUTER_DISCOVERY");
         return read(others);
     }
 
-    static Config of(Map<String, String> environment, Map<String, Object> json) {
+    public static Config of(Map<String, String> environment, Map<String, Object> json) {
         String name = told(environment, "ROUTER_NAME", json, "name");
         InetSocketAddress listen = address("listen", told(environment, "ROUTER_LISTEN", json, "listen"));
         InetSocketAddress discovery =
@@ -64,13 +64,13 @@
             throw new Bad("the configuration has no settings");
         }
         Map<String, String> values = new HashMap<>();
-        flatten("", settings, values);
+        SettingsReader.flatten("", settings, values);
         SettingsReader.Boot boot =
             SettingsReader.read(values, (path, what) -> new Bad("settings: " + path + ": " + what));
         Targets known = new Targets(0, true, List.of());
         if (json.get("known") != null) {
             try {
-                known = Targets.of(json.get("known"), boot);
+                known = TargetsReader.of(json.get("known"), boot);
             } catch (IllegalArgumentException e) {
                 throw new Bad("known: " + e.getMessage());
             }
@@ -98,7 +98,7 @@
 
     private static InetSocketAddress address(String what, String text) {
         try {
-            return Targets.address(text);
+            return Addresses.parse(text);
         } catch (IllegalArgumentException e) {
             throw new Bad(what + ": " + e.getMessage());
         }
@@ -115,41 +115,6 @@
         }
     }
 
-    /** An address literal: there is no DNS here, and a name must not make the start wait for one. */
-    static InetSocketAddress literal(String host, int port) {
-        if (!host.matches("[0-9.]+|\\[?[0-9a-fA-F:.]*:[0-9a-fA-F:.]*]?")) {
-            throw new IllegalArgumentException("not an address: '" + host + "'");
-        }
-        try {
-            return new InetSocketAddress(InetAddress.getByName(host), port);
-        } catch (UnknownHostException e) {
-            throw new IllegalArgumentException("not an address: '" + host + "'");
-        }
-    }
-
-    /** The names of the simulator's wire: paths joined by dots, lists of plain values by commas. */
-    static void flatten(String path, Object value, Map<String, String> into) {
-        if (value instanceof Map<?, ?> map) {
-            map.forEach((k, v) -> flatten(path.isEmpty() ? k.toString() : path + "." + k, v, into));
-        } else if (value instanceof List<?> list) {
-            if (list.stream().anyMatch(Map.class::isInstance)) {
-                into.put(path + ".count", Integer.toString(list.size()));
-                for (int i = 0; i < list.size(); i++) {
-                    flatten(path + "." + i, list.get(i), into);
-                }
-            } else {
-                into.put(path, list.stream().map(Config::plain).collect(Collectors.joining(",")));
-            }
-        } else if (value != null) {
-            into.put(path, plain(value));
-        }
-    }
-
-    /** A value as it stands on the wire, where spaces and commas within values are replaced. */
-    static String plain(Object value) {
-        return String.valueOf(value).replace(' ', '_').replace(',', '_');
-    }
-
     /** The soft limit on descriptors, read without the management classes: they make a start longer. */
     private static int descriptors() {
         try {
--- /dev/null
+++ b/src/main/java/junctionhead/core/Addresses.java
@@ -0,0 +1,33 @@
+package junctionhead.core;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+
+/** Socket addresses as literals: there is no DNS here, and a name must not make anybody wait for one. */
+public final class Addresses {
+    private Addresses() { }
+
+    /** Reads {@code address:port}; throws IllegalArgumentException where it isn't that. */
+    public static InetSocketAddress parse(String text) {
+        int colon = text.lastIndexOf(':');
+        String port = text.substring(colon + 1);
+        if (colon <= 0 || !port.matches("\\d{1,5}") || Integer.parseInt(port) > 65_535) {
+            throw new IllegalArgumentException("not address:port: '" + text + "'");
+        }
+        String host = text.substring(0, colon);
+        if (!host.matches("[0-9.]+|\\[?[0-9a-fA-F:.]*:[0-9a-fA-F:.]*]?")) {
+            throw new IllegalArgumentException("not an address: '" + host + "'");
+        }
+        try {
+            return new InetSocketAddress(InetAddress.getByName(host), Integer.parseInt(port));
+        } catch (UnknownHostException e) {
+            throw new IllegalArgumentException("not an address: '" + host + "'");
+        }
+    }
+
+    /** As {@link #parse} reads it. */
+    public static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+}
--- /dev/null
+++ b/src/main/java/junctionhead/core/Carrier.java
@@ -0,0 +1,37 @@
+package junctionhead.core;
+
+import junctionhead.Policy;
+
+/**
+ * Who carries attempts to upstreams: the other side of the seam. It starts an attempt, gives it up, and
+ * tells how it ended; it never picks, repeats, queues or sheds. That an attempt never ran is its word: said
+ * only where its protocol proves it. All of it runs on the event loop.
+ */
+public interface Carrier {
+    /** What is certain of an attempt that is given up. */
+    enum Fate { NEVER_RAN, MAY_HAVE_RUN }
+
+    /** Whom it tells, once for each attempt, unless the attempt is given up before. */
+    interface Listener {
+        /** {@code answer} and {@code load} are null where none came. */
+        void ended(Policy.Outcome outcome, Answer answer, Policy.Load load);
+    }
+
+    /** An attempt that has been started. */
+    interface Attempt {
+        /** Stops waiting and tells nobody from here on. */
+        Fate giveUp();
+    }
+
+    /** The list of upstreams has changed; {@code now} in µs by the node's clock. */
+    void listed(Targets targets, long now);
+
+    /** Starts an attempt; {@code wait} is how long its answer is waited for, in µs. */
+    Attempt send(String server, Order order, long wait, Listener listener);
+
+    /** Asks an upstream how it is; {@code report}: for its load report as well. */
+    void probe(String server, boolean report, Listener listener);
+
+    /** Closes the idle connections to an upstream. */
+    void closeIdle(String server);
+}
--- a/src/main/java/junctionhead/net/Dispatcher.java
+++ b/src/main/java/junctionhead/core/Dispatcher.java
@@ -1,6 +1,5 @@
-package junctionhead.net;
+package junctionhead.core;
 
-import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -8,8 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import junctionhead.Policy;
@@ -20,22 +17,12 @@
  * attempts; tells it what happens and carries out what it asks for. It decides nothing. All of it runs on the
  * event loop's thread.
  */
-final class Dispatcher implements Policy.Actions {
+public final class Dispatcher implements Policy.Actions {
     /** µs before a client's time is over at which it gets a failure if nothing else has answered it. */
     static final long GUARD = 6_000;
     /** µs before that at which the last attempt ends, so that the module can word the answer itself. */
     static final long LAST_WORD = 6_000;
 
-    /** Where the one final answer to a request goes. */
-    interface Reply {
-        /** Served: passes the upstream's body on. */
-        void serve(AnswerReader.Answer answer);
-
-        void refuse(long retryAfter);
-
-        void fail();
-    }
-
     /** A request that has been taken, and its attempts. */
     private static final class Exchange {
         final String id;
@@ -45,7 +32,7 @@
         final List<Attempt> attempts = new ArrayList<>(2);
         int out;
         boolean closed;
-        Future<?> guard;
+        Loop.Timer guard;
 
         Exchange(String id, Order order, Reply reply, long deadline) {
             this.id = id;
@@ -59,8 +46,8 @@
         final Exchange exchange;
         final int number;
         final long at;
-        Upstreams.Call call;
-        Future<?> timer;
+        Carrier.Attempt carried;
+        Loop.Timer timer;
         boolean ended;
 
         Attempt(Exchange exchange, int number, long at) {
@@ -70,17 +57,17 @@
         }
     }
 
-    private final EventLoop loop;
+    private final Loop loop;
     private final SettingsReader.Boot boot;
     private final Policy policy;
     private final Consumer<String> log;
-    private final long unixAtStart = System.currentTimeMillis() * 1000;
-    private final long nanosAtStart = System.nanoTime();
+    private final Clock clock;
+    private final Tally tally;
     private final Map<String, Exchange> table = new HashMap<>();
     private final Set<String> ids = new HashSet<>();    // clients' own names of what is in the table
     private final ArrayDeque<LongConsumer> waiting = new ArrayDeque<>();
-    private Upstreams upstreams;
-    private Discovery discovery;
+    private Carrier carrier;
+    private Membership membership = Membership.NONE;
     private boolean handing;
     private boolean retired;
     private long taken;
@@ -89,22 +76,31 @@
     private int owed;
     private Runnable whenIdle;
 
-    Dispatcher(EventLoop loop, SettingsReader.Boot boot, Policy policy, Consumer<String> log) {
+    /** {@code clock} is read on the loop's thread; {@code log} must not block. */
+    public Dispatcher(Loop loop, Clock clock, SettingsReader.Boot boot, Policy policy,
+            Consumer<String> log) {
         this.loop = loop;
+        this.clock = clock;
+        this.tally = new Tally(boot.settings());
         this.boot = boot;
         this.policy = policy;
         this.log = log;
     }
 
-    /** {@code by} may be null: a rehearsal has no discovery. */
-    void attach(Upstreams to, Discovery by) {
-        upstreams = to;
-        discovery = by;
+    /** To be called before anything else. */
+    public void attach(Carrier to, Membership by) {
+        carrier = to;
+        membership = by;
     }
 
-    /** µs since 1970 by the monotonic clock: comparable with an upstream's start, and never going back. */
-    long now() {
-        return unixAtStart + (System.nanoTime() - nanosAtStart) / 1000;
+    /** µs since 1970, as the clock has it. */
+    public long now() {
+        return clock.now();
+    }
+
+    /** What has become of the requests so far. */
+    public Tally tally() {
+        return tally;
     }
 
     // ---------------------------------------------------------------- events
@@ -136,27 +132,28 @@
     }
 
     /** Takes a request, for one final answer; returns what to run if the client leaves before it. */
-    Runnable take(Order order, Reply reply) {
+    public Runnable take(Order order, Reply reply) {
         String id = Long.toString(++taken, Character.MAX_RADIX);
         Exchange x = new Exchange(id, order, reply, now() + order.timeLeft());
         table.put(id, x);
         ids.add(order.id());
         owed++;
-        x.guard = loop.schedule(() -> lastResort(x), Math.max(0, order.timeLeft() - GUARD),
-            TimeUnit.MICROSECONDS);
+        tally.taken(order);
+        x.guard = loop.after(Math.max(0, order.timeLeft() - GUARD), () -> lastResort(x));
         hand(now -> policy.request(now, id, order.requestClass(), order.tenant(), order.key(),
             Math.max(0, x.deadline - now), order.work(), order.resubmission(), this));
         return () -> gone(x);
     }
 
     /** Whether a request by that name of its client's is open, or an attempt of it. */
-    boolean holds(String id) {
+    public boolean holds(String id) {
         return ids.contains(id);
     }
 
     private void gone(Exchange x) {
         if (!x.closed) {
             close(x);
+            tally.gone();
             hand(now -> policy.clientGone(now, x.id, this));
             forget(x);
         }
@@ -170,6 +167,7 @@
                 log.accept("last-resort answers: " + guarded);
             }
             close(x);
+            tally.failed();
             x.reply.fail();
             hand(now -> policy.clientGone(now, x.id, this));
             for (Attempt a : x.attempts) {
@@ -183,10 +181,10 @@
 
     private void close(Exchange x) {
         x.closed = true;
-        x.guard.cancel(false);
+        x.guard.cancel();
         owed--;
         if (owed == 0 && whenIdle != null) {
-            loop.execute(whenIdle);
+            loop.soon(whenIdle);
         }
     }
 
@@ -198,55 +196,57 @@
         }
     }
 
-    private void ended(Attempt a, Policy.Outcome outcome, AnswerReader.Answer answer, Policy.Load load) {
+    private void ended(Attempt a, Policy.Outcome outcome, Answer answer, Policy.Load load) {
         if (a.ended) {
             return;
         }
         a.ended = true;
         if (a.timer != null) {
-            a.timer.cancel(false);
+            a.timer.cancel();
         }
         Exchange x = a.exchange;
         x.out--;
+        tally.ended(outcome);
         long latency = now() - a.at;
         if (outcome == Policy.Outcome.OK && !x.closed) {
             close(x);
+            tally.served(x.order, x.order.timeLeft() - (x.deadline - now()));
             x.reply.serve(answer);
         }
         hand(now -> policy.outcome(now, x.id, a.number, outcome, latency, x.closed, load, this));
         forget(x);
     }
 
-    // Before the request's last byte is written nothing can have run.
+    // What has not been handed to the carrier has not run; of all else the carrier tells.
     private void giveUp(Attempt a, Policy.Outcome ifWritten) {
         if (!a.ended) {
-            boolean written = a.call != null && a.call.giveUp();
-            ended(a, written ? ifWritten : Policy.Outcome.NOT_SENT, null, null);
+            boolean mayHaveRun = a.carried != null && a.carried.giveUp() == Carrier.Fate.MAY_HAVE_RUN;
+            ended(a, mayHaveRun ? ifWritten : Policy.Outcome.NOT_SENT, null, null);
         }
     }
 
     /** News of the list of upstreams; null: the call or the watch has failed. */
-    void listed(Policy.ListKind kind, Targets targets) {
+    public void listed(Policy.ListKind kind, Targets targets) {
         if (targets != null) {
-            upstreams.listed(targets, now());
+            carrier.listed(targets, now());
         }
         hand(now -> policy.servers(now, kind, targets == null ? List.of() : targets.servers(), this));
     }
 
     /** The module is told nothing more, and so asks for nothing. */
-    void retire() {
+    public void retire() {
         retired = true;
     }
 
     /** Runs {@code then} on the loop, once no final answer is owed any more. */
-    void whenIdle(Runnable then) {
+    public void whenIdle(Runnable then) {
         whenIdle = then;
         if (owed == 0) {
-            loop.execute(then);
+            loop.soon(then);
         }
     }
 
-    String summary() {
+    public String summary() {
         return taken + " requests taken, " + owed + " unanswered, " + guarded + " last-resort answers, "
             + faults + " faults";
     }
@@ -267,8 +267,8 @@
         long wait = timeout == 0 ? left : Math.min(timeout, left);
         boolean allowed = !x.closed && wait > 0 && a.number < boot.settings().limits().maxAttempts();
         if (allowed) {
-            a.timer = loop.schedule(() -> giveUp(a, Policy.Outcome.TIMEOUT), wait, TimeUnit.MICROSECONDS);
-            a.call = upstreams.send(server, x.order, wait,
+            a.timer = loop.after(wait, () -> giveUp(a, Policy.Outcome.TIMEOUT));
+            a.carried = carrier.send(server, x.order, wait,
                 (outcome, answer, load) -> ended(a, outcome, answer, load));
         } else {
             ended(a, Policy.Outcome.NOT_SENT, null, null);
@@ -280,6 +280,7 @@
         Exchange x = table.get(request);
         if (x != null && !x.closed) {
             close(x);
+            tally.refused();
             x.reply.refuse(retryAfter);
             forget(x);
         }
@@ -290,6 +291,7 @@
         Exchange x = table.get(request);
         if (x != null && !x.closed) {
             close(x);
+            tally.failed();
             x.reply.fail();
             forget(x);
         }
@@ -307,27 +309,23 @@
     public void probe(String server) {
         long sent = now();
         boolean reports = boot.settings().reports() != Policy.Reports.NONE;
-        upstreams.probe(server, reports, (outcome, answer, load) ->
+        carrier.probe(server, reports, (outcome, answer, load) ->
             hand(now -> policy.probed(now, server, outcome, now - sent, load, this)));
     }
 
     @Override
     public void watch(boolean on) {
-        if (discovery != null) {
-            discovery.watch(on);
-        }
+        membership.watch(on);
     }
 
     @Override
     public void fetchList() {
-        if (discovery != null) {
-            discovery.fetch();
-        }
+        membership.fetch();
     }
 
     @Override
     public void closeIdle(String server) {
-        upstreams.closeIdle(server);
+        carrier.closeIdle(server);
     }
 
     /** Balancers share nothing here: the module sends no messages, and there is no way for one. */
@@ -338,7 +336,7 @@
 
     @Override
     public void wakeAfter(long delay) {
-        loop.schedule(() -> hand(now -> policy.wake(now, this)), delay, TimeUnit.MICROSECONDS);
+        loop.after(delay, () -> hand(now -> policy.wake(now, this)));
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/junctionhead/core/Loop.java
@@ -0,0 +1,16 @@
+package junctionhead.core;
+
+/** The one thread that owns requests and module, as far as the core needs it: real, or in virtual time. */
+public interface Loop {
+    /** What has been asked to run later. */
+    interface Timer {
+        /** Does nothing where it has run already. */
+        void cancel();
+    }
+
+    /** Runs {@code task} on the loop's thread, not from within this call. May be called from any thread. */
+    void soon(Runnable task);
+
+    /** Runs {@code task} on the loop's thread once, after {@code delay} µs. */
+    Timer after(long delay, Runnable task);
+}
--- /dev/null
+++ b/src/main/java/junctionhead/core/Membership.java
@@ -0,0 +1,19 @@
+package junctionhead.core;
+
+/** A source of the list of upstreams, as the module asks for it. Runs on the event loop. */
+public interface Membership {
+    /** Subscribes to changes, in place of an earlier subscription, or ends it. */
+    void watch(boolean on);
+
+    /** Asks for the whole list once. */
+    void fetch();
+
+    /** No source: what is known stays. */
+    Membership NONE = new Membership() {
+        @Override
+        public void watch(boolean on) { }
+
+        @Override
+        public void fetch() { }
+    };
+}
--- /dev/null
+++ b/src/main/java/junctionhead/core/OrderRules.java
@@ -0,0 +1,78 @@
+package junctionhead.core;
+
+import java.util.List;
+import junctionhead.Policy;
+import junctionhead.SettingsReader;
+
+/** What every front asks of a request before it is taken, whatever its protocol. Decides without I/O. */
+public final class OrderRules {
+    private static final int NAME_MOST = 256;               // characters of an id or a key
+    private static final long DEADLINE_MOST = 600_000;      // ms: it is held for so long at most
+    private static final long COST_MOST = 600_000_000;      // µs: a guess beyond it says nothing
+    private static final List<String> SINGLE = List.of("Req-Id", "Req-Kind", "Req-Owner", Order.DEADLINE,
+        "Req-Cost", "Req-Retry", "Idempotency-Key");
+
+    private OrderRules() { }
+
+    /**
+     * What a request asks for.
+     *
+     * @param uri path and query
+     * @param fields those that go on, and with them those that tell of the request itself
+     * @throws IllegalArgumentException with the reason, where it can't be taken
+     */
+    public static Order order(String method, String uri, Fields fields, byte[] body,
+            SettingsReader.Boot boot) {
+        for (String name : SINGLE) {
+            if (fields.several(name)) {
+                throw new IllegalArgumentException("more than one " + name);
+            }
+        }
+        String id = text(fields, "Req-Id");
+        if (!named(id)) {
+            throw new IllegalArgumentException("no or bad Req-Id");
+        }
+        int number = boot.classes().indexOf(text(fields, "Req-Kind"));
+        if (number < 0) {
+            throw new IllegalArgumentException("unknown Req-Kind");
+        }
+        Policy.Effect effect = boot.settings().classes().get(number).effect();
+        String wanted = effect == Policy.Effect.SAFE ? "GET" : "POST";
+        String repeat = fields.get("Idempotency-Key");
+        if (!method.equals(wanted) || (repeat != null) != (effect == Policy.Effect.KEYED)
+                || repeat != null && !named(repeat)) {
+            throw new IllegalArgumentException("method or Idempotency-Key contradicts the Req-Kind");
+        }
+        long left = number(fields.get(Order.DEADLINE), -1);
+        if (left <= 0 || left > DEADLINE_MOST) {
+            throw new IllegalArgumentException("no or bad " + Order.DEADLINE);
+        }
+        if (!uri.startsWith("/")) {
+            throw new IllegalArgumentException("not a path");
+        }
+        String path = uri.split("[?#]", 2)[0];
+        String key = path.substring(path.lastIndexOf('/') + 1);
+        int tenant = Math.max(0, boot.tenants().indexOf(text(fields, "Req-Owner")));
+        long cost = number(fields.get("Req-Cost"), -1);
+        return new Order(id, method, uri, fields, body, number, tenant,
+            key.isEmpty() ? null : key, left * 1000, cost > COST_MOST ? -1 : cost,
+            "1".equals(fields.get("Req-Retry")));
+    }
+
+    private static String text(Fields fields, String name) {
+        String value = fields.get(name);
+        return value == null ? "" : value;
+    }
+
+    private static boolean named(String text) {
+        return !text.isEmpty() && text.length() <= NAME_MOST
+            && text.chars().allMatch(c -> c > ' ' && c < 127);
+    }
+
+    private static long number(String text, long otherwise) {
+        String digits = text == null ? "" : text.strip();
+        boolean plain = !digits.isEmpty() && digits.length() <= 12
+            && digits.chars().allMatch(c -> c >= '0' && c <= '9');
+        return plain ? Long.parseLong(digits) : otherwise;
+    }
+}
--- /dev/null
+++ b/src/main/java/junctionhead/core/Reply.java
@@ -0,0 +1,16 @@
+package junctionhead.core;
+
+/**
+ * Where the one final answer to a request goes: a front's side of the seam. {@link Dispatcher} calls exactly
+ * one of these once for each request taken, on the event loop, unless its client has left before.
+ */
+public interface Reply {
+    /** Served: passes the upstream's body on. */
+    void serve(Answer answer);
+
+    /** Refused, trying again is harmless; {@code retryAfter} in µs, 0 where none is advised. */
+    void refuse(long retryAfter);
+
+    /** Failed, nothing promised. */
+    void fail();
+}
--- /dev/null
+++ b/src/main/java/junctionhead/core/Targets.java
@@ -0,0 +1,15 @@
+package junctionhead.core;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import junctionhead.Policy;
+
+/** A list of upstreams, in the version {@code rev} of its source: all of them, or those that changed. */
+public record Targets(long rev, boolean all, List<Target> list) {
+    /** An upstream as the module knows it, and where this balancer reaches it. */
+    public record Target(Policy.Server server, InetSocketAddress endpoint) { }
+
+    public List<Policy.Server> servers() {
+        return list.stream().map(Target::server).toList();
+    }
+}
--- a/src/main/java/junctionhead/net/Client.java
+++ b/src/main/java/junctionhead/front/http1/Client.java
@@ -1,4 +1,4 @@
-package junctionhead.net;
+package junctionhead.front.http1;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/junctionhead/net/ClientServer.java
+++ b/src/main/java/junctionhead/front/http1/ClientServer.java
@@ -1,4 +1,4 @@
-package junctionhead.net;
+package junctionhead.front.http1;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -25,9 +25,16 @@
 import junctionhead.connections.Budget;
 import junctionhead.connections.Lease;
 import junctionhead.connections.Side;
+import junctionhead.core.Answer;
+import junctionhead.core.Dispatcher;
+import junctionhead.core.Drill;
+import junctionhead.core.Order;
+import junctionhead.core.OrderRules;
+import junctionhead.core.Reply;
+import junctionhead.http1.Http1Fields;
 
 /** The side to the clients: takes connections, hands requests over, and words each one's final answer. */
-final class ClientServer {
+public final class ClientServer {
     private static final int BACKLOG = 1024;
     private static final int ACCEPTS = 4;           // at once: between them the budget is asked again
     private static final long LOOK_MS = 200;        // between looks at what takes too long
@@ -48,9 +55,9 @@
     private boolean makingRoom;
     private int strangers;                          // taken in during a rehearsal since the last look
     private boolean again;                          // room will be looked for again soon
-    private Rehearsal rehearsal;                    // while it is on
+    private Drill rehearsal;                    // while it is on
 
-    ClientServer(EventLoop loop, SettingsReader.Boot boot, Dispatcher dispatcher, Budget budget,
+    public ClientServer(EventLoop loop, SettingsReader.Boot boot, Dispatcher dispatcher, Budget budget,
             Consumer<String> log) {
         this.loop = loop;
         this.boot = boot;
@@ -60,7 +67,7 @@
     }
 
     /** Listens; called from another thread than the loop's, and returns the address in use. */
-    InetSocketAddress listen(InetSocketAddress at) throws IOException {
+    public InetSocketAddress listen(InetSocketAddress at) throws IOException {
         try {
             Channel bound = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
                 // Known before it listens: on a slow machine a connection came in before bind had returned
@@ -89,17 +96,17 @@
         }
     }
 
-    void ready() {
+    public void ready() {
         ready = !stopping;
     }
 
     /** Serves a rehearsal's requests as well; null when it is over. */
-    void rehearse(Rehearsal with) {
+    public void rehearse(Drill with) {
         rehearsal = with;
     }
 
     /** From here on answers end their connections; new ones are still taken. */
-    void stopping() {
+    public void stopping() {
         ready = false;
         stopping = true;
     }
@@ -117,7 +124,7 @@
     }
 
     /** Takes no more connections and drops those that hold no request. */
-    void close() {
+    public void close() {
         listener.close();
         List.copyOf(clients).stream().filter(c -> c.lease().atRest()).forEach(Client::close);
     }
@@ -182,13 +189,14 @@
     void serve(Client client, HttpRequest request, byte[] body) {
         boolean keep = HttpUtil.isKeepAlive(request);
         String path = request.uri();
-        boolean rehearsing = rehearsal != null && rehearsal.knows(request.headers());
-        if (rehearsing && path.equals(Rehearsal.HOP)) {
+        Http1Fields fields = new Http1Fields(request.headers());
+        boolean rehearsing = rehearsal != null && rehearsal.knows(fields);
+        if (rehearsing && path.equals(Drill.HOP)) {
             boolean declined = rehearsal.declines();
             client.write(declined ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK,
                 Unpooled.wrappedBuffer(new byte[256]), null, declined ? "Srv-Declined" : "Srv-Load",
                 declined ? "1" : "TEXT eps=0.1, latency_ms=14.5, inflight=2", keep);
-        } else if (path.startsWith("/-/") && !(rehearsing && path.equals(Rehearsal.PATH))) {
+        } else if (path.startsWith("/-/") && !(rehearsing && path.equals(Drill.PATH))) {
             boolean asked = path.equals("/-/ready") && request.method().equals(HttpMethod.GET);
             HttpResponseStatus status = !asked ? HttpResponseStatus.NOT_FOUND
                 : ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
@@ -196,20 +204,21 @@
         } else {
             Order order;
             try {
-                order = RequestRules.order(request, body, boot);
+                order = OrderRules.order(request.method().name(), path, fields, body, boot);
+                fields.endToEnd();
             } catch (IllegalArgumentException e) {
                 client.refuse(HttpResponseStatus.BAD_REQUEST, e.getMessage());
                 return;
             }
-            Dispatcher to = path.equals(Rehearsal.PATH) ? rehearsal.dispatcher() : dispatcher;
+            Dispatcher to = path.equals(Drill.PATH) ? rehearsal.dispatcher() : dispatcher;
             if (to.holds(order.id())) {
                 // An upstream could not tell the two apart, and might answer one with the other's.
                 client.refuse(HttpResponseStatus.CONFLICT, "a request with this Req-Id is open");
                 return;
             }
-            Answer answer = new Answer(client, keep);
+            OneAnswer answer = new OneAnswer(client, keep);
             Runnable leave =
-                to.take(path.equals(Rehearsal.PATH) ? order.to(Rehearsal.HOP) : order, answer);
+                to.take(path.equals(Drill.PATH) ? order.to(Drill.HOP) : order, answer);
             if (!answer.given) {
                 client.owed(leave);
             }
@@ -217,18 +226,18 @@
     }
 
     /** The final answer to one request; the dispatcher gives it once. */
-    private static final class Answer implements Dispatcher.Reply {
+    private static final class OneAnswer implements Reply {
         private final Client client;
         private final boolean keep;
         private boolean given;
 
-        Answer(Client client, boolean keep) {
+        OneAnswer(Client client, boolean keep) {
             this.client = client;
             this.keep = keep;
         }
 
         @Override
-        public void serve(AnswerReader.Answer answer) {
+        public void serve(Answer answer) {
             given = true;
             client.write(HttpResponseStatus.OK, Unpooled.wrappedBuffer(answer.body()), answer.type(), null,
                 null, keep);
--- a/src/main/java/junctionhead/net/Intake.java
+++ b/src/main/java/junctionhead/front/http1/Intake.java
@@ -1,4 +1,4 @@
-package junctionhead.net;
+package junctionhead.front.http1;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Arrays;
+import junctionhead.core.Order;
 
 /**
  * Puts a client's requests together, each whole and copied off the socket's buffers. What is too long, or
@@ -73,7 +74,7 @@
         if (bytes == 0) {
             return;
         }
-        if (length + bytes > RequestRules.BODY_MOST || !room.take(bytes)) {
+        if (length + bytes > Order.BODY_MOST || !room.take(bytes)) {
             refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "too large");
             return;
         }
@@ -81,7 +82,7 @@
             body = ByteBufUtil.getBytes(more);
         } else {
             if (length + bytes > body.length) {
-                body = Arrays.copyOf(body, Math.min(RequestRules.BODY_MOST, 2 * (length + bytes)));
+                body = Arrays.copyOf(body, Math.min(Order.BODY_MOST, 2 * (length + bytes)));
             }
             more.readBytes(body, length, bytes);
         }
--- a/src/main/java/junctionhead/net/Room.java
+++ b/src/main/java/junctionhead/front/http1/Room.java
@@ -1,4 +1,4 @@
-package junctionhead.net;
+package junctionhead.front.http1;
 
 /**
  * The memory that clients' bodies may take together, while they come in and until they are answered. Guards
--- /dev/null
+++ b/src/main/java/junctionhead/http1/Http1Fields.java
@@ -0,0 +1,86 @@
+package junctionhead.http1;
+
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.AsciiString;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.BiConsumer;
+import java.util.stream.Stream;
+import junctionhead.core.Fields;
+import junctionhead.core.Order;
+
+/**
+ * The fields of an HTTP/1.1 message, as its codec holds them. Between two sides that both speak HTTP/1.1 they
+ * go on as they are: {@link #of} hands them out, and translates only what came by another protocol.
+ */
+public final class Http1Fields implements Fields {
+    // Not strings: these keep the hash that each look-up takes.
+    private static final AsciiString[] HOP_BY_HOP = Stream.of("connection", "keep-alive",
+        "proxy-connection", "proxy-authenticate", "proxy-authorization", "te", "trailer",
+        "transfer-encoding", "upgrade", "expect", "content-length", Order.DEADLINE)
+        .map(AsciiString::cached).toArray(AsciiString[]::new);
+
+    private final HttpHeaders headers;
+    private boolean hostless;                       // no Host came: each carrier names its own
+
+    public Http1Fields(HttpHeaders headers) {
+        this.headers = headers;
+    }
+
+    /**
+     * What a carrier over HTTP/1.1 writes for such fields: not a copy where they came by HTTP/1.1, so that
+     * a carrier sets its own connection's fields anew for each attempt, and writes them out before the next.
+     *
+     * @param host the upstream, for a request that names no host
+     */
+    public static HttpHeaders of(Fields fields, String host) {
+        if (fields instanceof Http1Fields own) {
+            own.hostless = own.hostless || !own.headers.contains(HttpHeaderNames.HOST);
+            if (own.hostless) {
+                own.headers.set(HttpHeaderNames.HOST, host);
+            }
+            return own.headers;
+        }
+        HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
+        fields.each(headers::add);
+        if (!headers.contains(HttpHeaderNames.HOST)) {
+            headers.set(HttpHeaderNames.HOST, host);
+        }
+        return headers;
+    }
+
+    /** Takes those away that belong to one connection only (RFC 9110, section 7.6.1), and the deadline. */
+    public Http1Fields endToEnd() {
+        List<String> connection = headers.getAll(HttpHeaderNames.CONNECTION);
+        if (!connection.isEmpty()) {
+            connection.stream().flatMap(v -> Stream.of(v.toLowerCase(Locale.ROOT).split("\\s*,\\s*")))
+                .filter(name -> !name.isEmpty()).forEach(headers::remove);
+        }
+        for (AsciiString name : HOP_BY_HOP) {
+            headers.remove(name);
+        }
+        return this;
+    }
+
+    @Override
+    public String get(String name) {
+        return headers.get(name);
+    }
+
+    @Override
+    public List<String> all(String name) {
+        return headers.getAll(name);
+    }
+
+    @Override
+    public boolean several(String name) {
+        return headers.contains(name) && headers.getAll(name).size() > 1;
+    }
+
+    @Override
+    public void each(BiConsumer<String, String> to) {
+        headers.forEach(header -> to.accept(header.getKey(), header.getValue()));
+    }
+}
--- a/src/main/java/junctionhead/net/Discovery.java
+++ b/src/main/java/junctionhead/membership/Discovery.java
@@ -1,4 +1,4 @@
-package junctionhead.net;
+package junctionhead.membership;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -33,12 +33,15 @@
 import junctionhead.Policy;
 import junctionhead.Policy.ListKind;
 import junctionhead.SettingsReader;
+import junctionhead.core.Addresses;
+import junctionhead.core.Membership;
+import junctionhead.core.Targets;
 
 /**
  * Asks discovery for the list and watches its changes: where discovery is asked, only as the module wishes;
  * where lists are pushed, always.
  */
-final class Discovery {
+public final class Discovery implements Membership {
     private static final int LINE_MOST = 4 << 20;
     private static final int CONNECT_MS = 2_000;
     private static final long SILENCE_MS = 7_000;   // a watch holds a line every 2 s: three are missing
@@ -56,7 +59,7 @@
     private boolean wanted;                         // a watch, whether one is open or not
 
     /** {@code news} gets each list and change; FAILED and null where a call or the watch has failed. */
-    Discovery(EventLoop loop, InetSocketAddress address, SettingsReader.Boot boot, long rev,
+    public Discovery(EventLoop loop, InetSocketAddress address, SettingsReader.Boot boot, long rev,
             BiConsumer<ListKind, Targets> news, Consumer<String> log) {
         this.loop = loop;
         this.address = address;
@@ -68,14 +71,14 @@
     }
 
     /** Begins to watch unasked where lists are pushed. */
-    void start() {
+    public void start() {
         if (pushed) {
             watch(true);
         }
     }
 
-    /** Subscribes to changes, in place of an earlier subscription, or ends it. */
-    void watch(boolean on) {
+    @Override
+    public void watch(boolean on) {
         wanted = on;
         Call earlier = watch;
         watch = on ? new Call("/api/targets?watch=1&from=" + rev, true) : null;
@@ -87,8 +90,8 @@
         }
     }
 
-    /** Asks for the whole list once. */
-    void fetch() {
+    @Override
+    public void fetch() {
         new Call("/api/targets", false).open();
     }
 
@@ -97,7 +100,7 @@
      * meanwhile, and nobody is told of a failure, for none has happened. The whole list is asked for: another
      * discovery may count its versions in another way.
      */
-    void moveTo(InetSocketAddress other) {
+    public void moveTo(InetSocketAddress other) {
         if (other.equals(address)) {
             return;
         }
@@ -148,7 +151,7 @@
                     DefaultFullHttpRequest ask =
                         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
                     ask.headers().set(HttpHeaderNames.HOST,
-                        address.getAddress().getHostAddress() + ":" + address.getPort());
+                        Addresses.text(address));
                     channel.writeAndFlush(ask);
                 } else {
                     ended();
@@ -192,7 +195,7 @@
                 targets = new Targets(rev, false, List.of());
             } else {
                 try {
-                    targets = Targets.parse(text, boot);
+                    targets = TargetsReader.parse(text, boot);
                 } catch (IllegalArgumentException e) {
                     // A change may be lost with it: the next watch, from the last good version, brings it.
                     log.accept("discovery sent a list that can't be read: " + e.getMessage());
--- a/src/main/java/junctionhead/net/DryRun.java
+++ b/src/main/java/junctionhead/node/DryRun.java
@@ -1,10 +1,11 @@
-package junctionhead.net;
+package junctionhead.node;
 
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import junctionhead.Balance;
+import junctionhead.config.Config;
 
 /**
  * Starts a balancer, lets it rehearse and ends it: the build does so once, for the JVM to archive the classes
--- a/src/main/java/junctionhead/net/Hangup.java
+++ b/src/main/java/junctionhead/node/Hangup.java
@@ -1,4 +1,4 @@
-package junctionhead.net;
+package junctionhead.node;
 
 import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.Proxy;
--- a/src/main/java/junctionhead/net/Node.java
+++ b/src/main/java/junctionhead/node/Node.java
@@ -1,4 +1,4 @@
-package junctionhead.net;
+package junctionhead.node;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -14,8 +14,16 @@
 import java.util.function.Supplier;
 import junctionhead.Balance;
 import junctionhead.Policy;
+import junctionhead.config.Config;
 import junctionhead.connections.Budget;
 import junctionhead.connections.Limits;
+import junctionhead.core.Addresses;
+import junctionhead.core.Clock;
+import junctionhead.core.Dispatcher;
+import junctionhead.core.Targets;
+import junctionhead.front.http1.ClientServer;
+import junctionhead.membership.Discovery;
+import junctionhead.upstream.Upstreams;
 
 /** One real balancer: its start, its readiness and its orderly stop. */
 public final class Node {
@@ -45,7 +53,7 @@
         this.log = log;
         budget = new Budget(Limits.of(config.sockets()), System.nanoTime());
         Policy policy = module.apply(config.boot().settings(), config.seed());
-        dispatcher = new Dispatcher(loop, config.boot(), policy, log);
+        dispatcher = new Dispatcher(new NettyLoop(loop), Clock.system(), config.boot(), policy, log);
         upstreams = new Upstreams(loop, config.boot(), budget, dispatcher::now);
         discovery = new Discovery(loop, config.discovery(), config.boot(), config.known().rev(),
             this::listed, log);
@@ -79,7 +87,7 @@
             log.accept("no SIGHUP here: a new configuration needs a restart");
         }
         // Said only now: whoever reads it may send the signals at once.
-        log.accept("listening on " + at.getAddress().getHostAddress() + ":" + at.getPort());
+        log.accept("listening on " + Addresses.text(at));
         node.await();
         return 0;
     }
@@ -125,8 +133,8 @@
             return;
         }
         InetSocketAddress to = fresh.discovery();
-        log.accept("configuration taken over: discovery at " + to.getAddress().getHostAddress() + ":"
-            + to.getPort() + (fresh.boot().equals(config.boot()) ? "" : "; new settings wait for a restart"));
+        log.accept("configuration taken over: discovery at " + Addresses.text(to)
+            + (fresh.boot().equals(config.boot()) ? "" : "; new settings wait for a restart"));
         loop.execute(() -> discovery.moveTo(to));
     }
 
--- a/src/main/java/junctionhead/net/Rehearsal.java
+++ b/src/main/java/junctionhead/node/Rehearsal.java
@@ -1,9 +1,8 @@
-package junctionhead.net;
+package junctionhead.node;
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -12,8 +11,18 @@
 import junctionhead.Balance;
 import junctionhead.Policy;
 import junctionhead.SettingsReader;
+import junctionhead.config.Config;
 import junctionhead.connections.Budget;
 import junctionhead.connections.Limits;
+import junctionhead.core.Clock;
+import junctionhead.core.Dispatcher;
+import junctionhead.core.Drill;
+import junctionhead.core.Fields;
+import junctionhead.core.Membership;
+import junctionhead.core.Order;
+import junctionhead.core.Targets;
+import junctionhead.http1.Http1Fields;
+import junctionhead.upstream.Upstreams;
 
 /**
  * Takes requests of its own through the whole path, over this node's own address, before clients come. Guards
@@ -21,10 +30,7 @@
  * requests, fell behind at once under a full load, and answered some after their deadlines. It has a module,
  * a dispatcher and connections of its own, which end with it, so that the real ones learn nothing from it.
  */
-final class Rehearsal {
-    /** The path of its requests, and the one on which they come back to this node as an upstream. */
-    static final String PATH = "/-/rehearsal";
-    static final String HOP = "/-/rehearsed";
+final class Rehearsal implements Drill {
     private static final String TOKEN = "Rehearsal";    // a header with what no stranger knows
 
     private static final int REQUESTS = 300;
@@ -53,20 +59,21 @@
         this.then = then;
         this.token = Long.toHexString(new SplittableRandom(config.seed() ^ System.nanoTime()).nextLong());
         Policy policy = new Balance(boot.settings(), config.seed());
-        dispatcher = new Dispatcher(loop, boot, policy, line -> { });
+        dispatcher = new Dispatcher(new NettyLoop(loop), Clock.system(), boot, policy, line -> { });
         Budget budget = new Budget(Limits.of(config.sockets()), System.nanoTime());
         back = new Upstreams(loop, boot, budget, dispatcher::now);
         front = new Upstreams(loop, boot, budget, dispatcher::now);
-        dispatcher.attach(back, null);
+        dispatcher.attach(back, Membership.NONE);
     }
 
-    Dispatcher dispatcher() {
+    @Override
+    public Dispatcher dispatcher() {
         return dispatcher;
     }
 
-    /** Whether a request is one of its own. */
-    boolean knows(HttpHeaders headers) {
-        return token.equals(headers.get(TOKEN));
+    @Override
+    public boolean knows(Fields fields) {
+        return token.equals(fields.get(TOKEN));
     }
 
     void start(InetSocketAddress self) {
@@ -85,8 +92,8 @@
         }
     }
 
-    /** As an upstream: whether the request that has come back is turned away. */
-    boolean declines() {
+    @Override
+    public boolean declines() {
         hops++;
         return begun > REQUESTS / 2 && hops % DECLINED == 0;
     }
@@ -102,10 +109,10 @@
         if (effect == Policy.Effect.KEYED) {
             headers.set("Idempotency-Key", "rehearsal-" + begun);
         }
-        HttpMethod method = effect == Policy.Effect.SAFE ? HttpMethod.GET : HttpMethod.POST;
+        String method = effect == Policy.Effect.SAFE ? "GET" : "POST";
         byte[] body = new byte[effect == Policy.Effect.SAFE ? 0 : 200];
-        Order order = new Order("rehearsal-" + begun, method, PATH, headers, body, number, 0, null, WAIT, -1,
-            false);
+        Order order = new Order("rehearsal-" + begun, method, PATH, new Http1Fields(headers), body, number,
+            0, null, WAIT, -1, false);
         front.send("rehearsal-0", order, WAIT, (outcome, answer, load) -> {
             ended++;
             if (ended >= REQUESTS) {
--- a/src/main/java/junctionhead/net/AnswerReader.java
+++ b/src/main/java/junctionhead/upstream/AnswerReader.java
@@ -1,4 +1,4 @@
-package junctionhead.net;
+package junctionhead.upstream;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -21,6 +20,9 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.Arrays;
 import java.util.List;
+import junctionhead.core.Answer;
+import junctionhead.core.Order;
+import junctionhead.http1.Http1Fields;
 
 /**
  * Reads the answers on one connection to an upstream, one for each request, and trusts nothing that comes:
@@ -30,13 +32,6 @@
     private static final int HEAD_MOST = 8 * 1024;
     private static final int HINTS_MOST = 8;        // 1xx answers ahead of one
 
-    /** An upstream's whole answer. */
-    record Answer(int status, HttpHeaders headers, byte[] body) {
-        String type() {
-            return headers.get(HttpHeaderNames.CONTENT_TYPE);
-        }
-    }
-
     /** Whom it tells, once for each request. */
     interface Taker {
         /** {@code usable}: the connection may carry another request. */
@@ -88,7 +83,7 @@
             if (hint) {
                 hint = !last;                       // the answer itself is still to come
             } else if (add(content.content()) && last) {
-                whole = new Answer(head.status().code(), head.headers(),
+                whole = new Answer(head.status().code(), new Http1Fields(head.headers()),
                     body.length == length ? body : Arrays.copyOf(body, length));
             }
         }
@@ -109,7 +104,7 @@
         boolean chunked = codings.size() == 1 && codings.get(0).strip().equalsIgnoreCase("chunked");
         // One whose end shows only in the end of the connection can't be told from one cut short.
         boolean ends = codings.isEmpty() ? HttpUtil.isContentLengthSet(answer) : chunked;
-        if (!ends || HttpUtil.getContentLength(answer, 0L) > RequestRules.BODY_MOST) {
+        if (!ends || HttpUtil.getContentLength(answer, 0L) > Order.BODY_MOST) {
             spoil();
         }
     }
@@ -117,7 +112,7 @@
     // Guards against answers that say or bring more than is ever held: no memory grows by them.
     private boolean add(ByteBuf more) {
         int bytes = more.readableBytes();
-        if (length + bytes > RequestRules.BODY_MOST) {
+        if (length + bytes > Order.BODY_MOST) {
             spoil();
             return false;
         }
@@ -125,7 +120,7 @@
             body = ByteBufUtil.getBytes(more);
         } else if (bytes > 0) {
             if (length + bytes > body.length) {
-                body = Arrays.copyOf(body, Math.min(RequestRules.BODY_MOST, 2 * (length + bytes)));
+                body = Arrays.copyOf(body, Math.min(Order.BODY_MOST, 2 * (length + bytes)));
             }
             more.readBytes(body, length, bytes);
         }
--- a/src/main/java/junctionhead/net/Upstreams.java
+++ b/src/main/java/junctionhead/upstream/Upstreams.java
@@ -1,4 +1,4 @@
-package junctionhead.net;
+package junctionhead.upstream;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
@@ -12,10 +12,11 @@
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.AsciiString;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -25,7 +26,6 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
 import junctionhead.LoadReport;
 import junctionhead.Policy;
 import junctionhead.Policy.Outcome;
@@ -33,19 +33,23 @@
 import junctionhead.connections.Budget;
 import junctionhead.connections.Lease;
 import junctionhead.connections.Side;
+import junctionhead.core.Addresses;
+import junctionhead.core.Answer;
+import junctionhead.core.Carrier;
+import junctionhead.core.Clock;
+import junctionhead.core.Fields;
+import junctionhead.core.Order;
+import junctionhead.core.Targets;
+import junctionhead.http1.Http1Fields;
 
 /** The connections to the upstreams, one request at a time on each, and what becomes of each request. */
-final class Upstreams {
+public final class Upstreams implements Carrier {
     private static final double IDLE_SHARE = 0.5;   // of the time after which upstreams close an idle one
     private static final long DRAIN_MARGIN = 50_000; // µs before the grace is over: the clock is not shared
     private static final long FORGET = 60_000_000;  // µs after its grace that a stopped upstream is kept
+    private static final AsciiString DEADLINE = AsciiString.cached(Order.DEADLINE);
     private static final int CONNECT_MS = 1_000;    // where the settings give no limit
 
-    /** How a request to an upstream ended; {@code answer} is null where none came. */
-    interface Listener {
-        void ended(Outcome outcome, AnswerReader.Answer answer, Policy.Load load);
-    }
-
     private static final class Upstream {
         final String id;
         InetSocketAddress endpoint;
@@ -60,13 +64,13 @@
     private final EventLoop loop;
     private final SettingsReader.Boot boot;
     private final Budget budget;
-    private final LongSupplier clock;
+    private final Clock clock;
     private final Bootstrap bootstrap;
     private final long idleMost;
     private final Map<String, Upstream> upstreams = new HashMap<>();
     private final Future<?> sweep;
 
-    Upstreams(EventLoop loop, SettingsReader.Boot boot, Budget budget, LongSupplier clock) {
+    public Upstreams(EventLoop loop, SettingsReader.Boot boot, Budget budget, Clock clock) {
         this.loop = loop;
         this.boot = boot;
         this.budget = budget;
@@ -86,7 +90,8 @@
 
     // ---------------------------------------------------------------- the list
 
-    void listed(Targets targets, long now) {
+    @Override
+    public void listed(Targets targets, long now) {
         Set<String> named = new HashSet<>();
         for (Targets.Target t : targets.list()) {
             named.add(t.server().id());
@@ -114,18 +119,19 @@
 
     // ---------------------------------------------------------------- attempts and probes
 
-    /** Sends a request; {@code wait} is how long the balancer will wait for its answer, in µs. */
-    Call send(String server, Order order, long wait, Listener listener) {
+    @Override
+    public Attempt send(String server, Order order, long wait, Listener listener) {
         return start(server, new Call(order, Math.max(1, wait / 1000), listener));
     }
 
-    /** Asks an upstream how it is; gives up after the time that a connection may take. */
-    void probe(String server, boolean report, Listener listener) {
-        Order order = new Order("", HttpMethod.GET, report ? "/-/load" : "/-/healthy",
-            EmptyHttpHeaders.INSTANCE, new byte[0], -1, 0, null, 0, -1, false);
+    /** Gives up after the time that a connection may take. */
+    @Override
+    public void probe(String server, boolean report, Listener listener) {
+        Order order = new Order("", "GET", report ? "/-/load" : "/-/healthy",
+            Fields.NONE, new byte[0], -1, 0, null, 0, -1, false);
         Call call = new Call(order, 0, listener);
         call.timer = loop.schedule(() -> {
-            boolean asked = call.giveUp();
+            boolean asked = call.giveUp() == Fate.MAY_HAVE_RUN;
             listener.ended(asked ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED, null, null);
         }, connectMillis(), TimeUnit.MILLISECONDS);
         start(server, call);
@@ -133,7 +139,7 @@
 
     private Call start(String server, Call call) {
         Upstream u = upstreams.get(server);
-        if (u == null || u.endpoint == null || clock.getAsLong() >= u.stopAt) {
+        if (u == null || u.endpoint == null || clock.now() >= u.stopAt) {
             call.end(Outcome.NOT_SENT, null, null);
             return call;
         }
@@ -174,7 +180,7 @@
                 connection.channel.close();
             } else if (connection.call == null) {
                 connection.rest();          // its attempt was given up meanwhile: the handshake is paid for
-            } else if (clock.getAsLong() >= u.stopAt) {
+            } else if (clock.now() >= u.stopAt) {
                 // Rule 3: the list changed while this one waited for its connection.
                 connection.finish(Outcome.NOT_SENT, null, null);
                 connection.close();
@@ -186,7 +192,8 @@
 
     // ---------------------------------------------------------------- idle connections
 
-    void closeIdle(String server) {
+    @Override
+    public void closeIdle(String server) {
         Upstream u = upstreams.get(server);
         if (u != null) {
             closeIdle(u);
@@ -203,7 +210,7 @@
     // may have run, and most classes can't be sent again then.
     private void closeOld() {
         // Guards against a table that grows with every machine that comes and goes.
-        long now = clock.getAsLong();
+        long now = clock.now();
         upstreams.values().removeIf(u -> u.stopAt < now - FORGET);
         for (Upstream u : upstreams.values()) {
             while (!u.idle.isEmpty() && !u.idle.peekFirst().usable()) {
@@ -213,7 +220,7 @@
     }
 
     /** Closes all that is idle, now and from here on. */
-    void close() {
+    public void close() {
         sweep.cancel(false);
         for (Upstream u : upstreams.values()) {
             u.stopAt = Long.MIN_VALUE;
@@ -222,7 +229,7 @@
     }
 
     /** A request on its way to an upstream. */
-    static final class Call {
+    private static final class Call implements Attempt {
         private final Order order;
         private final long waitMillis;              // 0: not told to the upstream
         private final Listener listener;
@@ -237,14 +244,14 @@
         }
 
         /**
-         * Stops waiting and tells nobody; a connection that holds any of the request is closed.
-         *
-         * @return whether the request may have run: its last byte has been written
+         * Stops waiting and tells nobody; a connection that holds any of the request is closed. It may have
+         * run if its last byte has been written.
          */
-        boolean giveUp() {
+        @Override
+        public Fate giveUp() {
             Connection c = connection;
             if (ended || c == null) {
-                return false;
+                return Fate.NEVER_RAN;
             }
             ended = true;
             boolean mayHaveRun = c.written;
@@ -253,10 +260,10 @@
             if (c.begun) {
                 c.close();
             }
-            return mayHaveRun;
+            return mayHaveRun ? Fate.MAY_HAVE_RUN : Fate.NEVER_RAN;
         }
 
-        private void end(Outcome outcome, AnswerReader.Answer answer, Policy.Load load) {
+        private void end(Outcome outcome, Answer answer, Policy.Load load) {
             if (timer != null) {
                 timer.cancel(false);
             }
@@ -268,20 +275,15 @@
         }
 
         private FullHttpRequest message(InetSocketAddress to) {
-            FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, order.method(),
-                order.uri(), Unpooled.wrappedBuffer(order.body()));
-            message.headers().add(order.headers());
-            if (!message.headers().contains(HttpHeaderNames.HOST)) {
-                message.headers().set(HttpHeaderNames.HOST,
-                    to.getAddress().getHostAddress() + ":" + to.getPort());
-            }
+            HttpHeaders headers = Http1Fields.of(order.fields(), Addresses.text(to));
             if (waitMillis > 0) {
-                message.headers().set(RequestRules.DEADLINE, Long.toString(waitMillis));
+                headers.set(DEADLINE, Long.toString(waitMillis));
             }
-            if (order.body().length > 0 || !order.method().equals(HttpMethod.GET)) {
-                HttpUtil.setContentLength(message, order.body().length);
+            if (order.body().length > 0 || !order.method().equals("GET")) {
+                headers.set(HttpHeaderNames.CONTENT_LENGTH, order.body().length);
             }
-            return message;
+            return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(order.method()),
+                order.uri(), Unpooled.wrappedBuffer(order.body()), headers, EmptyHttpHeaders.INSTANCE);
         }
     }
 
@@ -304,7 +306,7 @@
         }
 
         boolean usable() {
-            return channel.isActive() && clock.getAsLong() - idleSince < idleMost;
+            return channel.isActive() && clock.now() - idleSince < idleMost;
         }
 
         void write(Call next) {
@@ -328,7 +330,7 @@
         void rest() {
             begun = false;
             written = false;
-            idleSince = clock.getAsLong();
+            idleSince = clock.now();
             // Another address now: who listens at the old one is another upstream, if any.
             if (upstream.stopAt < Long.MAX_VALUE || !endpoint.equals(upstream.endpoint)) {
                 close();
@@ -338,7 +340,7 @@
             }
         }
 
-        void finish(Outcome outcome, AnswerReader.Answer answer, Policy.Load load) {
+        void finish(Outcome outcome, Answer answer, Policy.Load load) {
             Call ending = call;
             call = null;
             if (ending != null) {
@@ -352,7 +354,7 @@
         }
 
         @Override
-        public void answered(AnswerReader.Answer answer, boolean usable) {
+        public void answered(Answer answer, boolean usable) {
             Call answered = call;
             call = null;
             // Back among the idle before the module hears of it: its next send may want this one.
@@ -364,7 +366,7 @@
             if (answered == null) {
                 return;
             }
-            String report = answer.headers().get("Srv-Load");
+            String report = answer.fields().get("Srv-Load");
             if (report == null && answered.waitMillis == 0) {
                 report = new String(answer.body(), StandardCharsets.UTF_8);     // of a probe
             }
@@ -385,12 +387,12 @@
     }
 
     // Turned away unseen only where the upstream says so itself; any other failure may have run.
-    private static Outcome classify(AnswerReader.Answer answer) {
+    private static Outcome classify(Answer answer) {
         int status = answer.status();
         if (status == 200) {
             return Outcome.OK;
         }
-        boolean declined = "1".equals(answer.headers().get("Srv-Declined"));
+        boolean declined = "1".equals(answer.fields().get("Srv-Declined"));
         return declined && (status == 503 || status == 504) ? Outcome.FULL : Outcome.ERROR;
     }
 }
--- a/src/test/java/junctionhead/MainTest.java
+++ b/src/test/java/junctionhead/MainTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
+import java.io.File;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -11,7 +12,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -19,12 +22,17 @@
 
 /** The program as it is started: arguments, exit codes and what goes to which stream. */
 class MainTest {
+    // What is served: without the libraries of tests, whose log would be found and would have its say.
+    private static final String CLASS_PATH = Arrays.stream(System.getProperty("java.class.path")
+        .split(File.pathSeparator)).filter(entry -> !entry.contains("slf4j") && !entry.contains("archunit"))
+        .collect(Collectors.joining(File.pathSeparator));
+
     private record Run(int exit, String out, String err) { }
 
     private static Run run(String input, String... arguments) throws IOException, InterruptedException {
         List<String> command = new ArrayList<>(List.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-            System.getProperty("java.class.path"),
+            CLASS_PATH,
             "junctionhead.Main"));
         command.addAll(List.of(arguments));
         Path in = Files.createTempFile("junctionhead", ".in");
@@ -155,7 +163,7 @@
     private static Process serve(String config) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-            System.getProperty("java.class.path"), "junctionhead.Main", "serve");
+            CLASS_PATH, "junctionhead.Main", "serve");
         builder.environment().keySet().removeIf(name -> name.startsWith("ROUTER_"));
         if (!config.isEmpty()) {
             builder.environment().put("ROUTER_CONFIG", config);
--- /dev/null
+++ b/src/test/java/junctionhead/core/DispatcherTest.java
@@ -0,0 +1,237 @@
+package junctionhead.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import junctionhead.Policy;
+import junctionhead.Policy.Outcome;
+import junctionhead.SettingsReader;
+import org.junit.jupiter.api.Test;
+
+/** The seams without sockets: a carrier that does what the test says, in virtual time. */
+class DispatcherTest {
+    private static final class Started implements Carrier.Attempt {
+        final Carrier.Listener listener;
+        final long wait;
+        Carrier.Fate fate = Carrier.Fate.MAY_HAVE_RUN;
+        boolean givenUp;
+
+        Started(Carrier.Listener listener, long wait) {
+            this.listener = listener;
+            this.wait = wait;
+        }
+
+        @Override
+        public Carrier.Fate giveUp() {
+            givenUp = true;
+            return fate;
+        }
+    }
+
+    private static final class FakeCarrier implements Carrier {
+        final List<Started> started = new ArrayList<>();
+        boolean atOnce;                             // fails within send
+
+        @Override
+        public void listed(Targets targets, long now) { }
+
+        @Override
+        public Attempt send(String server, Order order, long wait, Listener listener) {
+            Started next = new Started(listener, wait);
+            started.add(next);
+            if (atOnce) {
+                listener.ended(Outcome.NOT_SENT, null, null);
+            }
+            return next;
+        }
+
+        @Override
+        public void probe(String server, boolean report, Listener listener) { }
+
+        @Override
+        public void closeIdle(String server) { }
+    }
+
+    /** Sends each request once, and fails it when the attempt has ended otherwise than well. */
+    private static class OneTry implements Policy {
+        final List<String> told = new ArrayList<>();
+        boolean silent;
+
+        @Override
+        public void servers(long now, ListKind kind, List<Server> servers, Actions out) { }
+
+        @Override
+        public void request(long now, String request, int requestClass, int tenant, String key, long timeLeft,
+                long work, boolean resubmission, Actions out) {
+            out.send(request, "s", 50_000);
+        }
+
+        @Override
+        public void outcome(long now, String request, int attempt, Outcome outcome, long latency,
+                boolean closed, Load load, Actions out) {
+            told.add(outcome + (closed ? " closed" : ""));
+            if (!closed && !silent) {
+                out.fail(request);
+            }
+        }
+
+        @Override
+        public void streamStarted(long now, String request, int attempt, Actions out) { }
+
+        @Override
+        public void clientGone(long now, String request, Actions out) {
+            told.add("gone");
+            out.cancel(request, 0);
+        }
+
+        @Override
+        public void probed(long now, String server, Outcome outcome, long latency, Load load, Actions out) { }
+
+        @Override
+        public void wake(long now, Actions out) { }
+    }
+
+    private static final class Answers implements Reply {
+        final List<String> given = new ArrayList<>();
+
+        @Override
+        public void serve(Answer answer) {
+            given.add("served");
+        }
+
+        @Override
+        public void refuse(long retryAfter) {
+            given.add("refused");
+        }
+
+        @Override
+        public void fail() {
+            given.add("failed");
+        }
+    }
+
+    private final VirtualLoop loop = new VirtualLoop();
+    private final FakeCarrier carrier = new FakeCarrier();
+    private final OneTry policy = new OneTry();
+    private final Answers answers = new Answers();
+    private final List<String> log = new ArrayList<>();
+    private final Dispatcher dispatcher = new Dispatcher(loop, loop, boot(), policy, log::add);
+
+    private static SettingsReader.Boot boot() {
+        Map<String, String> values = new HashMap<>(Map.of("Balancers", "1", "Quantum", "1000",
+            "MembershipMode", "push", "Classes.count", "1", "Classes.0.Name", "read",
+            "Classes.0.Idempotency", "safe", "Classes.0.GoalTime", "20000", "Classes.0.GiveUp", "100000",
+            "Classes.0.Gain", "4", "Classes.0.LateShare", "0.25"));
+        values.putAll(Map.of("Limits.TryLimit", "3", "Limits.MayDuplicate", "true", "Limits.Cancel", "true",
+            "Limits.Probes", "false", "Rules.AnswerSlack", "8000", "Rules.DrainGrace", "1000000",
+            "Rules.ColdFrom", "0.3", "Rules.RampTime", "1", "Rules.OverloadFactor", "3", "Rules.Fall", "1"));
+        return SettingsReader.read(values, (path, what) -> new IllegalArgumentException(path + what));
+    }
+
+    DispatcherTest() {
+        dispatcher.attach(carrier, Membership.NONE);
+    }
+
+    private Runnable take() {
+        return dispatcher.take(new Order("r1", "GET", "/k", Fields.NONE, new byte[0], 0, 0, "k", 100_000, -1,
+            false), answers);
+    }
+
+    private static Answer ok() {
+        return new Answer(200, Fields.NONE, new byte[0]);
+    }
+
+    @Test
+    void anAnswerInTimeEarnsItsWorthAndALateOneItsShare() {
+        take();
+        loop.pass(20_000);
+        carrier.started.get(0).listener.ended(Outcome.OK, ok(), null);
+        take();
+        loop.pass(20_001);
+        carrier.started.get(1).listener.ended(Outcome.OK, ok(), null);
+        assertEquals(List.of("served", "served"), answers.given);
+        Tally.Line all = dispatcher.tally().all();
+        assertEquals(2, all.taken());
+        assertEquals(1, all.inTime());
+        assertEquals(1, all.late());
+        assertEquals(8.0, all.asked());
+        assertEquals(5.0, all.earned());
+        assertEquals(5.0, dispatcher.tally().ofClass(0).earned());
+        assertEquals(Map.of(Outcome.OK, 2L), dispatcher.tally().attempts());
+    }
+
+    @Test
+    void thatAnAttemptNeverRanIsTheCarriersWord() {
+        take();
+        loop.pass(50_000);
+        take();
+        carrier.started.get(1).fate = Carrier.Fate.NEVER_RAN;
+        loop.pass(50_000);
+        assertEquals(List.of("TIMEOUT", "NOT_SENT"), policy.told);
+        assertTrue(carrier.started.get(0).givenUp && carrier.started.get(1).givenUp);
+        assertEquals(List.of("failed", "failed"), answers.given);
+    }
+
+    @Test
+    void aSecondEndOfOneAttemptIsNotTold() {
+        take();
+        Carrier.Listener listener = carrier.started.get(0).listener;
+        listener.ended(Outcome.RESET, null, null);
+        listener.ended(Outcome.OK, ok(), null);
+        assertEquals(List.of("RESET"), policy.told);
+        assertEquals(List.of("failed"), answers.given);
+    }
+
+    @Test
+    void anAttemptThatEndsWithinItsSendIsToldAfterwards() {
+        carrier.atOnce = true;
+        take();
+        loop.pass(200_000);
+        assertEquals(List.of("NOT_SENT"), policy.told);
+        assertEquals(List.of("failed"), answers.given);
+        assertFalse(dispatcher.holds("r1"));
+    }
+
+    @Test
+    void whereTheModuleIsSilentTheLastResortAnswersInTimeAndNothingIsSentAfterIt() {
+        policy.silent = true;
+        take();
+        loop.pass(100_000 - Dispatcher.GUARD);
+        assertEquals(List.of("failed"), answers.given);
+        assertEquals(List.of("last-resort answers: 1"), log);
+        assertFalse(dispatcher.holds("r1"));
+        loop.pass(1_000_000);
+        assertEquals(1, answers.given.size());
+        assertEquals(1, dispatcher.tally().failures());
+    }
+
+    @Test
+    void aClientThatLeavesIsOwedNothingAndItsAttemptIsGivenUp() {
+        Runnable leave = take();
+        leave.run();
+        assertEquals(List.of("gone", "CANCELLED closed"), policy.told);
+        assertTrue(carrier.started.get(0).givenUp);
+        loop.pass(1_000_000);
+        assertEquals(List.of(), answers.given);
+        assertEquals(1, dispatcher.tally().departures());
+        boolean[] idle = new boolean[1];
+        dispatcher.whenIdle(() -> idle[0] = true);
+        loop.pass(0);
+        assertTrue(idle[0]);
+    }
+
+    @Test
+    void noAttemptOutlivesTheTimeOfItsClient() {
+        take();
+        assertEquals(50_000, carrier.started.get(0).wait);
+        loop.pass(200_000);
+        take();
+        loop.pass(1);
+        assertEquals(2, carrier.started.size());
+    }
+}
--- /dev/null
+++ b/src/test/java/junctionhead/core/VirtualLoop.java
@@ -0,0 +1,41 @@
+package junctionhead.core;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** A loop in virtual time: runs what is due, in order, when a test lets time pass. */
+final class VirtualLoop implements Loop, Clock {
+    private record Entry(long at, long number, Runnable task) { }
+
+    private final PriorityQueue<Entry> entries =
+        new PriorityQueue<>(Comparator.comparingLong(Entry::at).thenComparingLong(Entry::number));
+    private long now = 1_000_000;
+    private long number;
+
+    @Override
+    public long now() {
+        return now;
+    }
+
+    @Override
+    public void soon(Runnable task) {
+        after(0, task);
+    }
+
+    @Override
+    public Timer after(long delay, Runnable task) {
+        Entry entry = new Entry(now + Math.max(0, delay), number++, task);
+        entries.add(entry);
+        return () -> entries.remove(entry);
+    }
+
+    void pass(long micros) {
+        long until = now + micros;
+        while (!entries.isEmpty() && entries.peek().at() <= until) {
+            Entry next = entries.poll();
+            now = Math.max(now, next.at());
+            next.task().run();
+        }
+        now = until;
+    }
+}
--- /dev/null
+++ b/src/test/java/junctionhead/front/http1/RoomTest.java
@@ -0,0 +1,18 @@
+package junctionhead.front.http1;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class RoomTest {
+    @Test
+    void bodiesAreRefusedWhereTogetherTheyTakeTooMuch() {
+        Room room = new Room(10);
+        assertTrue(room.take(6));
+        assertFalse(room.take(5));
+        assertTrue(room.take(4));
+        room.give(6);
+        assertTrue(room.take(5));
+    }
+}
--- /dev/null
+++ b/src/test/java/junctionhead/http1/Http1FieldsTest.java
@@ -0,0 +1,59 @@
+package junctionhead.http1;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+import java.util.function.BiConsumer;
+import junctionhead.core.Fields;
+import org.junit.jupiter.api.Test;
+
+class Http1FieldsTest {
+    @Test
+    void whatBelongsToOneConnectionGoesNoFurtherAndTheRestIsNotCopied() {
+        HttpHeaders headers = new DefaultHttpHeaders().add("Connection", "Keep-Alive, X-Own")
+            .add("keep-alive", "5").add("x-own", "1").add("Req-Deadline-MS", "9").add("TE", "trailers")
+            .add("Host", "a").add("X-Kept", "1").add("X-Kept", "2");
+        Http1Fields fields = new Http1Fields(headers).endToEnd();
+        assertSame(headers, Http1Fields.of(fields, "b:1"));
+        assertEquals(3, headers.size());
+        assertEquals(List.of("1", "2"), fields.all("x-kept"));
+        assertEquals("a", fields.get("host"));
+    }
+
+    /** The first attempt's host stayed in the fields, and would have gone to the second one's server. */
+    @Test
+    void aRequestWithoutAHostIsGivenThatOfEachAttempt() {
+        Http1Fields fields = new Http1Fields(new DefaultHttpHeaders());
+        assertEquals("a:1", Http1Fields.of(fields, "a:1").get("Host"));
+        assertEquals("b:2", Http1Fields.of(fields, "b:2").get("Host"));
+    }
+
+    @Test
+    void whatCameByAnotherProtocolIsTranslated() {
+        Fields other = new Fields() {
+            @Override
+            public String get(String name) {
+                return null;
+            }
+
+            @Override
+            public List<String> all(String name) {
+                return List.of();
+            }
+
+            @Override
+            public void each(BiConsumer<String, String> to) {
+                to.accept("x-a", "1");
+            }
+        };
+        HttpHeaders first = Http1Fields.of(other, "a:1");
+        first.set("x-b", "2");
+        assertEquals("1", first.get("X-A"));
+        assertEquals("a:1", first.get("Host"));
+        assertNull(Http1Fields.of(other, "a:1").get("x-b"));
+    }
+}
--- a/src/test/java/junctionhead/net/ClientsTest.java
+++ b/src/test/java/junctionhead/node/ClientsTest.java
@@ -1,7 +1,6 @@
-package junctionhead.net;
+package junctionhead.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -213,14 +212,4 @@
             }
         }
     }
-
-    @Test
-    void bodiesAreRefusedWhereTogetherTheyTakeTooMuch() {
-        Room room = new Room(10);
-        assertTrue(room.take(6));
-        assertFalse(room.take(5));
-        assertTrue(room.take(4));
-        room.give(6);
-        assertTrue(room.take(5));
-    }
 }
--- a/src/test/java/junctionhead/net/DiscoveryTest.java
+++ b/src/test/java/junctionhead/node/DiscoveryTest.java
@@ -1,9 +1,10 @@
-package junctionhead.net;
+package junctionhead.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import junctionhead.config.Config;
 import org.junit.jupiter.api.Test;
 
 /** How the list is asked for and watched. */
--- a/src/test/java/junctionhead/net/FakeUpstream.java
+++ b/src/test/java/junctionhead/node/FakeUpstream.java
@@ -1,4 +1,4 @@
-package junctionhead.net;
+package junctionhead.node;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
--- a/src/test/java/junctionhead/net/LifeCycleTest.java
+++ b/src/test/java/junctionhead/node/LifeCycleTest.java
@@ -1,4 +1,4 @@
-package junctionhead.net;
+package junctionhead.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -11,6 +11,7 @@
 import java.net.ServerSocket;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import junctionhead.config.Config;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
--- a/src/test/java/junctionhead/net/NodeFixture.java
+++ b/src/test/java/junctionhead/node/NodeFixture.java
@@ -1,6 +1,4 @@
-package junctionhead.net;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
+package junctionhead.node;
 
 import java.io.BufferedInputStream;
 import java.io.Closeable;
@@ -17,7 +15,9 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import junctionhead.Policy;
+import junctionhead.config.Config;
 import org.junit.jupiter.api.AfterEach;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import org.junit.jupiter.api.BeforeEach;
 
 /** A real balancer over loopback sockets, with a module that does what the test says. */
--- a/src/test/java/junctionhead/net/UpstreamsTest.java
+++ b/src/test/java/junctionhead/node/UpstreamsTest.java
@@ -1,4 +1,4 @@
-package junctionhead.net;
+package junctionhead.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
