Rig and demo: boxes with one ledger, discovery, load and faults round the real balancer

The command line (picocli) and the rig are in target/honeyspindle.jar; the archive that serves holds none of it.

Tests: a balancer that doubles, forgets or refuses what ran ends with code 1 and the order's history; the real one stays clean while four of eight boxes die or stall, one drains, discovery is down and lies; SIGINT leaves no child.

--- /dev/null
+++ b/src/rig/java/junctionhead/rig/Balancer.java
@@ -0,0 +1,24 @@
+package junctionhead.rig;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/** A balancer that a run is played against: the real one, or a test's twin with a fault of its own. */
+interface Balancer extends AutoCloseable {
+    InetSocketAddress address();
+
+    boolean isAlive();
+
+    /** CPU that it has used so far, in µs; 0 where that can't be told. */
+    long cpuMicros();
+
+    /** What it has said. */
+    List<String> log();
+
+    /** Ends it in order, and returns its exit code; -1 where it had to be killed. */
+    int stop() throws InterruptedException;
+
+    /** Ends it at once. */
+    @Override
+    void close();
+}
--- /dev/null
+++ b/src/rig/java/junctionhead/rig/Fleet.java
@@ -0,0 +1,126 @@
+package junctionhead.rig;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import junctionhead.core.Clock;
+
+/** All stand-in boxes of a scenario with their discovery, and the script of faults that befalls them. */
+final class Fleet {
+    private final Scenario scenario;
+    private final EventLoop loop;
+    private final Clock clock;
+    private final List<StandInBox> boxes = new ArrayList<>();
+    private final StandInDiscovery discovery;
+    private InetSocketAddress discoveryAt;
+
+    Fleet(Scenario scenario, List<Script.Order> script, EventLoop loop, Clock clock, Ledger ledger,
+            long grace) {
+        this.scenario = scenario;
+        this.loop = loop;
+        this.clock = clock;
+        Map<String, StandInBox.Known> known = new HashMap<>();
+        for (Script.Order order : script) {
+            Scenario.Kind kind = scenario.kinds().get(order.kind());
+            known.put(order.id(), new StandInBox.Known(kind.effect(), order.work(), kind.window()));
+        }
+        SplittableRandom chance = new SplittableRandom(scenario.seed() ^ 0x5eed);
+        int cells = 0;
+        for (Scenario.Boxes kind : scenario.boxes()) {
+            Cell cell = null;
+            for (int i = 0; i < kind.count(); i++) {
+                if (i % kind.cellSize() == 0) {
+                    cell = new Cell();
+                    cells++;
+                }
+                boxes.add(new StandInBox(kind.name() + "-" + (i + 1), kind, scenario.cold(), loop, clock,
+                    ledger,
+                    cell, cells - 1, known::get, chance.split()));
+            }
+        }
+        discovery = new StandInDiscovery(loop, clock, grace, boxes);
+    }
+
+    /** Listens everywhere; not for the loop's own thread. */
+    void open() throws InterruptedException {
+        for (StandInBox box : boxes) {
+            box.open();
+        }
+        discoveryAt = discovery.open();
+    }
+
+    InetSocketAddress discoveryAt() {
+        return discoveryAt;
+    }
+
+    /** The list as a balancer would have it from before. */
+    String list() {
+        return discovery.list();
+    }
+
+    /** Plans all faults of a run whose load begins at {@code begin}. */
+    void script(long begin) {
+        for (Scenario.Fault fault : scenario.faults()) {
+            at(begin + fault.at(), () -> befall(fault, true));
+            at(begin + fault.at() + fault.lasting(), () -> befall(fault, false));
+        }
+    }
+
+    private void at(long when, Runnable task) {
+        loop.schedule(task, Math.max(0, when - clock.now()), TimeUnit.MICROSECONDS);
+    }
+
+    private void befall(Scenario.Fault fault, boolean on) {
+        switch (fault.what()) {
+            case DISCOVERY_SILENT -> discovery.silent(on);
+            case DISCOVERY_DOWN -> discovery.down(on);
+            default -> boxes.stream().filter(b -> fault.strikes(b.name())).forEach(b -> befall(fault, b, on));
+        }
+    }
+
+    private void befall(Scenario.Fault fault, StandInBox box, boolean on) {
+        switch (fault.what()) {
+            case STALL -> box.stall(on);
+            case SLOW -> box.slow(on ? fault.amount() : 1);
+            case ERRORS -> box.errors(on ? fault.amount() : 0);
+            case FAST_ERRORS -> box.fastErrors(on ? fault.amount() : 0);
+            case RESET -> box.resets(on ? fault.amount() : 0);
+            case REFUSE -> box.refuse(on);
+            case KILL -> {
+                if (on) {
+                    box.kill();
+                } else {
+                    box.restart(() -> discovery.started(box.name()));
+                }
+            }
+            default -> discovery.set(box.name(),
+                on ? StandInDiscovery.State.TERMINATING : StandInDiscovery.State.IN_SERVICE);
+        }
+    }
+
+    /** How a box stands, in a word, with what it holds. */
+    record Standing(String name, String word, int inFlight, long served, long declined, long falls) { }
+
+    /** To be called on the loop. */
+    List<Standing> standings() {
+        List<Standing> all = new ArrayList<>();
+        for (StandInBox box : boxes) {
+            String word = !box.isUp() ? "down" : box.isStalled() ? "stalled"
+                : discovery.state(box.name()) != StandInDiscovery.State.IN_SERVICE ? "draining"
+                : box.warmth() < 1 ? "cold" : "up";
+            all.add(new Standing(box.name(), word, box.inFlight(), box.served(), box.declined(),
+                box.falls()));
+        }
+        return all;
+    }
+
+    void close() {
+        discovery.close();
+        boxes.forEach(StandInBox::close);
+    }
+}
--- /dev/null
+++ b/src/rig/java/junctionhead/rig/Load.java
@@ -0,0 +1,269 @@
+package junctionhead.rig;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import junctionhead.Policy;
+import junctionhead.core.Clock;
+import junctionhead.rig.Ledger.Final;
+
+/**
+ * Clients over HTTP/1.1 with open arrivals: each order is asked at its time, however the ones before it fare,
+ * and its latency counts from that time, so that a stall is not left out of the figures. On one event loop.
+ */
+final class Load {
+    /**
+     * µs beyond an order's deadline after which its client has waited in vain: more than a noisy machine's.
+     */
+    static final long PATIENCE = 500_000;
+    private static final int BODY = 200;
+
+    private final Scenario scenario;
+    private final List<Script.Order> script;
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Ledger ledger;
+    private final Tallies tallies;
+    private final InetSocketAddress to;
+    private final ArrayDeque<Connection> idle = new ArrayDeque<>();
+    private final ArrayDeque<Asking> waiting = new ArrayDeque<>();
+    private final Set<Connection> connections = new HashSet<>();
+    private long begun;
+    private int next;
+    private int open;
+    private boolean stopped;
+    private Runnable then;
+
+    Load(Scenario scenario, List<Script.Order> script, EventLoop loop, Clock clock, Ledger ledger,
+            Tallies tallies, InetSocketAddress to) {
+        this.scenario = scenario;
+        this.script = script;
+        this.loop = loop;
+        this.clock = clock;
+        this.ledger = ledger;
+        this.tallies = tallies;
+        this.to = to;
+    }
+
+    /** Begins at {@code at}; {@code whenDone} runs on the loop once every order has its end. */
+    void start(long at, Runnable whenDone) {
+        loop.execute(() -> {
+            begun = at;
+            then = whenDone;
+            step();
+        });
+    }
+
+    /** Asks nothing more; what is open goes on to its end. */
+    void stop() {
+        loop.execute(() -> {
+            stopped = true;
+            ended();
+        });
+    }
+
+    void close() {
+        loop.execute(() -> List.copyOf(connections).forEach(c -> c.channel.close()));
+    }
+
+    private void step() {
+        long now = clock.now();
+        while (!stopped && next < script.size() && begun + script.get(next).at() <= now) {
+            open++;
+            send(new Asking(script.get(next++)));
+        }
+        if (!stopped && next < script.size()) {
+            loop.schedule(this::step, Math.max(1, begun + script.get(next).at() - clock.now()),
+                TimeUnit.MICROSECONDS);
+        } else {
+            ended();
+        }
+    }
+
+    private void ended() {
+        if (open == 0 && (stopped || next >= script.size()) && then != null) {
+            Runnable once = then;
+            then = null;
+            once.run();
+        }
+    }
+
+    private void send(Asking asking) {
+        Connection connection = idle.pollLast();
+        if (connection != null && connection.channel.isActive()) {
+            connection.reused = true;
+            connection.ask(asking);
+        } else if (connection != null) {
+            send(asking);
+        } else if (connections.size() < scenario.connections()) {
+            dial(asking);
+        } else {
+            waiting.add(asking);
+        }
+    }
+
+    private void dial(Asking asking) {
+        Connection connection = new Connection();
+        connections.add(connection);
+        new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 2_000).handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(1 << 17),
+                        connection);
+                }
+            }).connect(to).addListener((io.netty.channel.ChannelFuture done) -> {
+                connection.channel = done.channel();
+                if (done.isSuccess()) {
+                    connection.ask(asking);
+                } else {
+                    connections.remove(connection);
+                    asking.end(Final.NOT_TAKEN);        // nobody has seen it
+                }
+            });
+    }
+
+    private final class Asking {
+        final Script.Order order;
+        final Scenario.Kind kind;
+        boolean again;
+        boolean over;
+        Future<?> patience;
+
+        Asking(Script.Order order) {
+            this.order = order;
+            this.kind = scenario.kinds().get(order.kind());
+        }
+
+        long due() {
+            return begun + order.at();
+        }
+
+        DefaultFullHttpRequest message() {
+            boolean safe = kind.effect() == Policy.Effect.SAFE;
+            DefaultFullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
+                safe ? HttpMethod.GET : HttpMethod.POST, "/api/" + order.key(),
+                safe ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(new byte[BODY]));
+            long left = Math.max(1, (due() + kind.deadline() - clock.now()) / 1000);
+            message.headers().set("Host", "boxes.local").set("Req-Id", order.id()).set("Req-Kind",
+                kind.name())
+                .set("Req-Deadline-Ms", Long.toString(left)).set("Req-Cost", Long.toString(order.work()));
+            if (kind.effect() == Policy.Effect.KEYED) {
+                message.headers().set("Idempotency-Key", order.key());
+            }
+            if (!safe) {
+                message.headers().set(HttpHeaderNames.CONTENT_LENGTH, BODY);
+            }
+            return message;
+        }
+
+        void end(Final how) {
+            if (over) {
+                return;
+            }
+            over = true;
+            if (patience != null) {
+                patience.cancel(false);
+            }
+            long latency = clock.now() - due();
+            if (how != Final.NOT_TAKEN) {
+                ledger.answered(order.id(), how, clock.now());
+            }
+            tallies.ended(order.kind(), order.work(), how, latency);
+            open--;
+            ended();
+        }
+    }
+
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private Channel channel;
+        private Asking asking;
+        private boolean reused;
+
+        void ask(Asking what) {
+            asking = what;
+            if (!what.again) {
+                ledger.asked(what.order.id(), what.kind.effect(), clock.now());
+                tallies.taken(what.order.kind(), what.order.work());
+                what.patience = loop.schedule(() -> {
+                    what.end(Final.NONE);
+                    channel.close();
+                }, what.due() + what.kind.deadline() + PATIENCE - clock.now(), TimeUnit.MICROSECONDS);
+            }
+            channel.writeAndFlush(what.message());
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
+            Asking ended = asking;
+            asking = null;
+            int status = answer.status().code();
+            boolean keep = HttpUtil.isKeepAlive(answer);
+            if (ended != null) {
+                boolean own = status != 200
+                    || ended.order.id().equals(answer.content().toString(StandardCharsets.US_ASCII));
+                if (!own) {
+                    ledger.note(ended.order.id(), "served with another's answer", clock.now());
+                }
+                ended.end(status == 200 && own ? Final.SERVED : status == 503 || status == 429 ? Final.REFUSED
+                    : status >= 400 && status < 500 ? Final.NOT_TAKEN : Final.FAILED);
+            }
+            if (!keep) {
+                channel.close();
+            } else if (!waiting.isEmpty()) {
+                reused = true;
+                ask(waiting.poll());
+            } else {
+                idle.addLast(this);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            connections.remove(this);
+            idle.remove(this);
+            Asking left = asking;
+            asking = null;
+            if (left != null && !left.over) {
+                // An end between two requests may cross the next one, which is then sent once more.
+                if (reused && !left.again && !stopped) {
+                    left.again = true;
+                    ledger.note(left.order.id(), "crossed the end of its connection", clock.now());
+                    dial(left);
+                } else {
+                    left.end(Final.NONE);
+                }
+            }
+            if (!waiting.isEmpty() && connections.size() < scenario.connections()) {
+                dial(waiting.poll());
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/rig/java/junctionhead/rig/StandInBox.java
@@ -0,0 +1,360 @@
+package junctionhead.rig;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannelConfig;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import junctionhead.Policy;
+import junctionhead.core.Clock;
+
+/** An order box on a socket: HTTP/1.1 round a {@link BoxModel}, and what befalls it. On one event loop. */
+final class StandInBox implements BoxModel.Told {
+    /** What the box is told of an order beyond the request itself. */
+    record Known(Policy.Effect effect, long work, long window) { }
+
+    private static final long NEVER = Long.MAX_VALUE;
+
+    private final String name;
+    private final Scenario.Boxes kind;
+    private final Scenario.Cold cold;
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Ledger ledger;
+    private final Cell cell;
+    private final int cellNumber;
+    private final Function<String, Known> orders;
+    private final SplittableRandom chance;
+    private final BoxModel model;
+    private final Set<Connection> connections = new HashSet<>();
+    private Channel listener;
+    private InetSocketAddress address;
+    private Future<?> timer;
+    private long timerAt = NEVER;
+    private long sendsEnd = NEVER;                  // nothing new may reach it from then on
+    private boolean stalled;
+    private boolean refusing;
+    private double errors;
+    private double fastErrors;
+    private double resets;
+    private long served;
+    private long declined;
+    private long falls;
+
+    StandInBox(String name, Scenario.Boxes kind, Scenario.Cold cold, EventLoop loop, Clock clock,
+        Ledger ledger,
+            Cell cell, int cellNumber, Function<String, Known> orders, SplittableRandom chance) {
+        this.name = name;
+        this.kind = kind;
+        this.cold = cold;
+        this.loop = loop;
+        this.clock = clock;
+        this.ledger = ledger;
+        this.cell = cell;
+        this.cellNumber = cellNumber;
+        this.orders = orders;
+        this.chance = chance;
+        this.model = new BoxModel(kind, cold, clock.now());
+    }
+
+    String name() {
+        return name;
+    }
+
+    Scenario.Boxes kind() {
+        return kind;
+    }
+
+    int cellNumber() {
+        return cellNumber;
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /** Listens, at the address that it had before if it had one. Not for the loop's own thread. */
+    void open() throws InterruptedException {
+        bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync();
+    }
+
+    private io.netty.channel.ChannelFuture bind(InetSocketAddress at) {
+        return new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    Connection connection = new Connection(channel);
+                    connections.add(connection);
+                    channel.pipeline().addLast(new HttpServerCodec(), connection.first(),
+                        new HttpObjectAggregator(1 << 17), connection);
+                }
+            }).bind(at).addListener((io.netty.channel.ChannelFuture done) -> {
+                if (done.isSuccess()) {
+                    listener = done.channel();
+                    address = (InetSocketAddress) listener.localAddress();
+                }
+            });
+    }
+
+    // ---------------------------------------------------------------- what befalls it, on the loop
+
+    /** From {@code at} on nothing new may reach it; NEVER: it serves again. */
+    void sendsEndAt(long at) {
+        sendsEnd = at;
+    }
+
+    void stall(boolean on) {
+        stalled = on;
+        model.stall(on, clock.now(), this);
+        plan();
+    }
+
+    boolean isStalled() {
+        return stalled;
+    }
+
+    void slow(double factor) {
+        model.slow(factor, clock.now(), this);
+        plan();
+    }
+
+    void errors(double share) {
+        errors = share;
+    }
+
+    void fastErrors(double share) {
+        fastErrors = share;
+    }
+
+    void resets(double share) {
+        resets = share;
+    }
+
+    void refuse(boolean on) {
+        refusing = on;
+    }
+
+    boolean isUp() {
+        return listener != null && listener.isOpen();
+    }
+
+    /** The process dies. */
+    void kill() {
+        if (listener != null) {
+            listener.close();
+        }
+        for (BoxModel.Job lost : model.die()) {
+            ledger.note(lost.order, (lost.isRunning() ? "lost in the middle on " : "lost unbegun on ") + name,
+                clock.now());
+        }
+        for (Connection connection : List.copyOf(connections)) {
+            connection.reset();
+        }
+    }
+
+    /** A new process at the same address, cold; {@code then} runs on the loop once it listens. */
+    void restart(Runnable then) {
+        if (!isUp()) {
+            model.start(clock.now());
+            bind(address).addListener(done -> then.run());
+        }
+    }
+
+    void close() {
+        kill();
+    }
+
+    int inFlight() {
+        return model.inFlight();
+    }
+
+    double warmth() {
+        return model.warmth(clock.now());
+    }
+
+    long served() {
+        return served;
+    }
+
+    long declined() {
+        return declined;
+    }
+
+    long falls() {
+        return falls;
+    }
+
+    // ---------------------------------------------------------------- the model's news
+
+    @Override
+    public void begun(BoxModel.Job job, long at) {
+        Known known = orders.apply(job.order);
+        boolean effect = known.effect() != Policy.Effect.KEYED
+            || cell.first(((Asked) job.context).key, known.window(), at);
+        ledger.ran(job.order, name, effect, at);
+    }
+
+    @Override
+    public void done(BoxModel.Job job, long at) {
+        served++;
+        Asked asked = (Asked) job.context;
+        asked.connection.job = null;
+        if (chance.nextDouble() < resets) {
+            asked.connection.reset();
+        } else {
+            boolean bad = chance.nextDouble() < errors;
+            asked.connection.answer(bad ? HttpResponseStatus.INTERNAL_SERVER_ERROR : HttpResponseStatus.OK,
+                bad ? "error" : job.order, false);
+        }
+    }
+
+    private void plan() {
+        long next = model.next();
+        if (next == timerAt) {
+            return;
+        }
+        if (timer != null) {
+            timer.cancel(false);
+        }
+        timerAt = next;
+        timer = next == NEVER ? null : loop.schedule(() -> {
+            timerAt = NEVER;
+            model.advance(clock.now(), this);
+            plan();
+        }, Math.max(0, next - clock.now()), TimeUnit.MICROSECONDS);
+    }
+
+    // A cold box that is pushed over stays down for a while, and starts again.
+    private void fall() {
+        falls++;
+        kill();
+        loop.schedule(() -> restart(() -> { }), cold.down(), TimeUnit.MICROSECONDS);
+    }
+
+    private record Asked(Connection connection, String key) { }
+
+    private final class Connection extends ChannelInboundHandlerAdapter {
+        private final Channel channel;
+        private BoxModel.Job job;
+        private long begunAt;
+
+        Connection(Channel channel) {
+            this.channel = channel;
+        }
+
+        /** Notes when a request's first bytes came: for drains that counts. */
+        ChannelInboundHandlerAdapter first() {
+            return new ChannelInboundHandlerAdapter() {
+                @Override
+                public void channelRead(ChannelHandlerContext context, Object part) {
+                    if (part instanceof HttpRequest) {
+                        begunAt = clock.now();
+                    }
+                    context.fireChannelRead(part);
+                }
+            };
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object part) {
+            try {
+                if (part instanceof FullHttpRequest request) {
+                    take(request);
+                }
+            } finally {
+                ReferenceCountUtil.release(part);
+            }
+        }
+
+        private void take(FullHttpRequest request) {
+            String id = request.headers().get("Req-Id");
+            if (request.uri().startsWith("/-/")) {
+                answer(HttpResponseStatus.OK, "ok", false);
+                return;
+            }
+            Known known = id == null ? null : orders.apply(id);
+            if (known == null) {
+                answer(HttpResponseStatus.BAD_REQUEST, "unknown order", false);
+                return;
+            }
+            long now = clock.now();
+            if (begunAt > sendsEnd) {
+                ledger.sentAfterDrain(id, name, begunAt - sendsEnd, now);
+            }
+            if (chance.nextDouble() < fastErrors) {
+                ledger.note(id, "fast error on " + name, now);
+                answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, "error", false);
+                return;
+            }
+            job = new BoxModel.Job(id, known.work(), new Asked(this,
+                String.valueOf(request.headers().get("Idempotency-Key"))));
+            BoxModel.Job mine = job;
+            if (refusing || !model.arrive(mine, now, StandInBox.this)) {
+                declined++;
+                job = null;
+                ledger.note(id, "turned away by " + name, now);
+                answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "declined", true);
+            }
+            if (model.isPushedOver(now)) {
+                fall();
+            }
+            plan();
+        }
+
+        void answer(HttpResponseStatus status, String text, boolean unseen) {
+            var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.length())
+                .set("Srv-Load", "TEXT inflight=" + model.inFlight());
+            if (unseen) {
+                response.headers().set("Srv-Declined", "1");
+            }
+            channel.writeAndFlush(response);
+        }
+
+        void reset() {
+            ((SocketChannelConfig) channel.config()).setSoLinger(0);
+            channel.close();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            connections.remove(this);
+            if (job != null) {
+                model.forget(job);
+                ledger.note(job.order, "given up at " + name, clock.now());
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            channel.close();
+        }
+    }
+}
--- a/src/test/java/junctionhead/HouseTest.java
+++ b/src/test/java/junctionhead/HouseTest.java
@@ -33,7 +33,8 @@
     @Test
     void whatDecidesDoesNoInputOrOutputAndReadsNoClock() {
         noClasses().that().resideInAPackage(Budget.class.getPackageName()).or()
-            .belongToAnyOf(OrderRules.class, Tally.class, Balance.class)
+            .belongToAnyOf(OrderRules.class, Tally.class, Balance.class).or().haveNameMatching(
+                "junctionhead\\.rig\\.(Ledger|BoxModel|Cell|Script|Report|Scenario|Tallies)(\\$.*)?")
             .should().dependOnClassesThat().resideInAnyPackage(IO)
             .orShould().callMethod(System.class, "nanoTime")
             .orShould().callMethod(System.class, "currentTimeMillis")
@@ -73,5 +74,8 @@
     void onlyTheNodePutsThemTogether() {
         classes().that().resideInAPackage("junctionhead.node..").should().onlyHaveDependentClassesThat()
             .resideInAnyPackage("junctionhead.node..", "junctionhead").check(ALL);
+        noClasses().that().resideOutsideOfPackages("junctionhead.rig..", "junctionhead.cli..")
+            .should().dependOnClassesThat().resideInAnyPackage("junctionhead.rig..", "junctionhead.cli..",
+                "picocli..", "org.tomlj..", "org.HdrHistogram..").check(ALL);
     }
 }
