bench: the balancer's cost against a bare pass-through; a cut watch is noticed in time

Need: what the balancer costs was known only with the machine's speed in it. ./honeyspindle bench plays the same orders in turn straight to the boxes, through a bare Netty pass-through under the same options, and through the balancer.

A watch that has brought something is now given up after 5 s without a line; a call that has brought nothing still has 7.

--- a/src/main/java/junctionhead/membership/Discovery.java
+++ b/src/main/java/junctionhead/membership/Discovery.java
@@ -44,7 +44,10 @@
 public final class Discovery implements Membership {
     private static final int LINE_MOST = 4 << 20;
     private static final int CONNECT_MS = 2_000;
-    private static final long SILENCE_MS = 7_000;   // a watch holds a line every 2 s: three are missing
+    private static final long SILENCE_MS = 7_000;   // of a call that has brought nothing yet
+    // A watch holds a line every 2 s. What changed counts as told after 6 s, heard of or not: with 7 s here,
+    // a drain right after a cut was learned too late to keep its grace.
+    private static final long MISSING_MS = 5_000;
     private static final long AGAIN_MS = 500;       // after a failure, where lists are pushed
 
     private final EventLoop loop;
@@ -177,7 +180,7 @@
             }
             silence = loop.schedule(() -> {
                 ended();
-            }, SILENCE_MS, TimeUnit.MILLISECONDS);
+            }, answered && watching ? MISSING_MS : SILENCE_MS, TimeUnit.MILLISECONDS);
         }
 
         @Override
@@ -205,6 +208,7 @@
             }
             rev = targets.rev();
             answered = true;
+            heard();
             news.accept(targets.all() ? ListKind.COMPLETE : ListKind.PARTIAL, targets);
             if (!watching) {
                 drop();
--- a/src/rig/java/junctionhead/cli/Cli.java
+++ b/src/rig/java/junctionhead/cli/Cli.java
@@ -5,8 +5,10 @@
 import java.net.URISyntaxException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
 import junctionhead.Main;
+import junctionhead.rig.Bench;
 import junctionhead.rig.Demo;
 import picocli.AutoComplete;
 import picocli.CommandLine;
@@ -16,7 +18,8 @@
 /** The command line of the whole product; the served archive has {@code serve} and {@code wirehost} only. */
 @Command(name = "honeyspindle", mixinStandardHelpOptions = true, version = "honeyspindle 0.1.0",
     description = "A balancer for HTTP services that loses nothing, does nothing twice and keeps drains.",
-    synopsisSubcommandLabel = "COMMAND", subcommands = {Cli.DemoCommand.class, Cli.Serve.class,
+    synopsisSubcommandLabel = "COMMAND", subcommands = {Cli.DemoCommand.class, Cli.BenchCommand.class,
+    Cli.Serve.class,
         Cli.Wirehost.class, AutoComplete.GenerateCompletion.class},
     exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:all went well", "1:it failed, as told",
         "2:the command line can't be used", "130:ended by SIGINT"})
@@ -94,6 +97,38 @@
         }
     }
 
+    /** What the balancer costs on this machine. */
+    @Command(name = "bench", mixinStandardHelpOptions = true, description =
+        "Measures CPU a request and latencies through the balancer, through a bare pass-through and "
+        + "straight to the boxes, in turn.")
+    static final class BenchCommand implements Callable<Integer> {
+        @Option(names = "--seconds", paramLabel = "N", defaultValue = "5",
+            description = "of each round and way (default ${DEFAULT-VALUE})")
+        private long seconds;
+        @Option(names = "--rounds", paramLabel = "N", defaultValue = "3",
+            description = "counted ones, after one to warm up (default ${DEFAULT-VALUE})")
+        private int rounds;
+        @Option(names = "--rate", paramLabel = "N", defaultValue = "2000",
+            description = "requests a second (default ${DEFAULT-VALUE})")
+        private double rate;
+        @Option(names = "--boxes", paramLabel = "N", split = ",", defaultValue = "8,100",
+            description = "how many (default ${DEFAULT-VALUE})")
+        private List<Integer> boxes;
+        @Option(names = "--json", paramLabel = "FILE", description = "writes the figures there as well")
+        private File json;
+
+        @Override
+        public Integer call() throws IOException, InterruptedException {
+            var result = new Bench(System.out, served(), System.getProperty("java.class.path"), seconds,
+                rounds,
+                rate).run(boxes);
+            if (json != null) {
+                Files.writeString(json.toPath(), Bench.json(result));
+            }
+            return 0;
+        }
+    }
+
     /** A balancer, as the platform starts it. */
     @Command(name = "serve", mixinStandardHelpOptions = true,
         description = "Runs a balancer, as ROUTER_NAME, _LISTEN, _DISCOVERY and _CONFIG tell it.")
--- a/src/rig/java/junctionhead/rig/BalancerProcess.java
+++ b/src/rig/java/junctionhead/rig/BalancerProcess.java
@@ -74,6 +74,26 @@
         }
     }
 
+    /** A bare pass-through to these addresses, under the same options. */
+    static BalancerProcess bare(String classPath, List<InetSocketAddress> boxes, long seconds)
+            throws IOException, InterruptedException {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(FLAGS);
+        command.addAll(List.of("-cp", classPath, PassThrough.class.getName()));
+        boxes.forEach(b -> command.add(Addresses.text(b)));
+        BalancerProcess started = new BalancerProcess(
+            new ProcessBuilder(command).redirectErrorStream(true).start(),
+            Files.createTempDirectory("honeyspindle-rig"));
+        try {
+            started.awaitReady(seconds);
+            return started;
+        } catch (IOException | InterruptedException | RuntimeException e) {
+            started.close();
+            throw e;
+        }
+    }
+
     private BalancerProcess(Process process, Path folder) {
         this.process = process;
         this.folder = folder;
--- a/src/rig/java/junctionhead/rig/Demo.java
+++ b/src/rig/java/junctionhead/rig/Demo.java
@@ -83,7 +83,7 @@
                 scenario.lasting() / 1e6, scenario.seed(), scenario.headroom());
             balancer = balancers.start(scenario, fleet.list(), fleet.discoveryAt());
             Load load = new Load(scenario, script, loadLoops.next(), clock, ledger, tallies,
-                balancer.address());
+                List.of(balancer.address()));
             long begin = clock.now() + LEAD;
             long cpu = balancer.cpuMicros();
             fleet.script(begin);
--- a/src/rig/java/junctionhead/rig/Fleet.java
+++ b/src/rig/java/junctionhead/rig/Fleet.java
@@ -58,6 +58,10 @@
         return discoveryAt;
     }
 
+    List<InetSocketAddress> addresses() {
+        return boxes.stream().map(StandInBox::address).toList();
+    }
+
     /** The list as a balancer would have it from before. */
     String list() {
         return discovery.list();
@@ -78,6 +82,7 @@
     private void befall(Scenario.Fault fault, boolean on) {
         switch (fault.what()) {
             case DISCOVERY_SILENT -> discovery.silent(on);
+            case WATCHES_CUT -> discovery.cut(on);
             case DISCOVERY_DOWN -> discovery.down(on);
             default -> boxes.stream().filter(b -> fault.strikes(b.name())).forEach(b -> befall(fault, b, on));
         }
--- a/src/rig/java/junctionhead/rig/Load.java
+++ b/src/rig/java/junctionhead/rig/Load.java
@@ -20,6 +20,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -31,7 +32,9 @@
 
 /**
  * Clients over HTTP/1.1 with open arrivals: each order is asked at its time, however the ones before it fare,
- * and its latency counts from that time, so that a stall is not left out of the figures. On one event loop.
+ * and its latency counts from that time, so that a stall is not left out of the figures. Where there are
+ * several
+ * addresses they are taken in turn. On one event loop.
  */
 final class Load {
     /**
@@ -46,8 +49,8 @@
     private final Clock clock;
     private final Ledger ledger;
     private final Tallies tallies;
-    private final InetSocketAddress to;
-    private final ArrayDeque<Connection> idle = new ArrayDeque<>();
+    private final List<InetSocketAddress> to;
+    private final List<ArrayDeque<Connection>> idle = new ArrayList<>();
     private final ArrayDeque<Asking> waiting = new ArrayDeque<>();
     private final Set<Connection> connections = new HashSet<>();
     private long begun;
@@ -57,14 +60,15 @@
     private Runnable then;
 
     Load(Scenario scenario, List<Script.Order> script, EventLoop loop, Clock clock, Ledger ledger,
-            Tallies tallies, InetSocketAddress to) {
+            Tallies tallies, List<InetSocketAddress> to) {
         this.scenario = scenario;
         this.script = script;
         this.loop = loop;
         this.clock = clock;
         this.ledger = ledger;
         this.tallies = tallies;
-        this.to = to;
+        this.to = List.copyOf(to);
+        to.forEach(t -> idle.add(new ArrayDeque<>()));
     }
 
     /** Begins at {@code at}; {@code whenDone} runs on the loop once every order has its end. */
@@ -111,21 +115,22 @@
     }
 
     private void send(Asking asking) {
-        Connection connection = idle.pollLast();
+        int target = asking.order.number() % to.size();
+        Connection connection = idle.get(target).pollLast();
         if (connection != null && connection.channel.isActive()) {
             connection.reused = true;
             connection.ask(asking);
         } else if (connection != null) {
             send(asking);
         } else if (connections.size() < scenario.connections()) {
-            dial(asking);
+            dial(asking, target);
         } else {
             waiting.add(asking);
         }
     }
 
-    private void dial(Asking asking) {
-        Connection connection = new Connection();
+    private void dial(Asking asking, int target) {
+        Connection connection = new Connection(target);
         connections.add(connection);
         new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 2_000).handler(new ChannelInitializer<Channel>() {
@@ -134,7 +139,7 @@
                     channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(1 << 17),
                         connection);
                 }
-            }).connect(to).addListener((io.netty.channel.ChannelFuture done) -> {
+            }).connect(to.get(target)).addListener((io.netty.channel.ChannelFuture done) -> {
                 connection.channel = done.channel();
                 if (done.isSuccess()) {
                     connection.ask(asking);
@@ -198,10 +203,15 @@
     }
 
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final int target;
         private Channel channel;
         private Asking asking;
         private boolean reused;
 
+        Connection(int target) {
+            this.target = target;
+        }
+
         void ask(Asking what) {
             asking = what;
             if (!what.again) {
@@ -236,14 +246,14 @@
                 reused = true;
                 ask(waiting.poll());
             } else {
-                idle.addLast(this);
+                idle.get(target).addLast(this);
             }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             connections.remove(this);
-            idle.remove(this);
+            idle.get(target).remove(this);
             Asking left = asking;
             asking = null;
             if (left != null && !left.over) {
@@ -251,13 +261,13 @@
                 if (reused && !left.again && !stopped) {
                     left.again = true;
                     ledger.note(left.order.id(), "crossed the end of its connection", clock.now());
-                    dial(left);
+                    dial(left, target);
                 } else {
                     left.end(Final.NONE);
                 }
             }
             if (!waiting.isEmpty() && connections.size() < scenario.connections()) {
-                dial(waiting.poll());
+                dial(waiting.poll(), target);
             }
         }
 
--- a/src/rig/java/junctionhead/rig/Scenario.java
+++ b/src/rig/java/junctionhead/rig/Scenario.java
@@ -47,6 +47,8 @@
         DISCOVERY_SILENT,
         /** Discovery is down: connections are closed at once. */
         DISCOVERY_DOWN,
+        /** Watches that are open stay so and bring nothing more, as after a cut; new calls work. */
+        WATCHES_CUT,
         /** Discovery says that the box drains, while it serves on. */
         DISCOVERY_LIES
     }
--- a/src/rig/java/junctionhead/rig/StandInDiscovery.java
+++ b/src/rig/java/junctionhead/rig/StandInDiscovery.java
@@ -46,8 +46,8 @@
         final StandInBox box;
         State state = State.IN_SERVICE;
         long bootMillis;
-        long rev;
         long drainedAt;
+        boolean heard;                              // by the balancer, of its state
         long told;                                  // of its drain, or when it counts as told
 
         Entry(StandInBox box) {
@@ -60,6 +60,7 @@
     private final long grace;
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final Set<Channel> watches = new HashSet<>();
+    private final Set<Channel> mute = new HashSet<>();
     private final Set<Channel> all = new HashSet<>();
     private final List<Channel> unanswered = new ArrayList<>();
     private Channel listener;
@@ -85,6 +86,7 @@
                     channel.closeFuture().addListener(closed -> {
                         all.remove(channel);
                         watches.remove(channel);
+                        mute.remove(channel);
                     });
                     channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 16),
                         new Handler());
@@ -133,14 +135,25 @@
         changed(entry);
     }
 
+    // What it could tell nobody counts as told from when it could.
+    private void nowReachable() {
+        for (Entry entry : entries.values()) {
+            if (entry.state != State.IN_SERVICE && !entry.heard) {
+                entry.told = clock.now() + TOLD;
+                entry.box.sendsEndAt(entry.told + grace);
+            }
+        }
+    }
+
     private void changed(Entry entry) {
-        entry.rev = ++rev;
+        rev++;
+        entry.heard = false;
         if (entry.state == State.IN_SERVICE) {
             entry.drainedAt = 0;
             entry.box.sendsEndAt(Long.MAX_VALUE);
         } else {
             entry.drainedAt = clock.now();
-            entry.told = entry.drainedAt + TOLD;
+            entry.told = silent || down ? Long.MAX_VALUE - grace : entry.drainedAt + TOLD;
             entry.box.sendsEndAt(entry.told + grace);
         }
         if (!silent && !down) {
@@ -155,15 +168,28 @@
     private void told(List<Entry> list) {
         for (Entry entry : list) {
             if (entry.state != State.IN_SERVICE) {
+                entry.heard = true;
                 entry.told = Math.min(entry.told, clock.now());
                 entry.box.sendsEndAt(entry.told + grace);
             }
         }
     }
 
+    /** Open watches bring one more beat and then nothing; they end when the network is whole again. */
+    void cut(boolean on) {
+        if (on) {
+            watches.forEach(w -> line(w, "\n"));    // the longest time until it can be noticed
+            mute.addAll(watches);
+            watches.clear();
+        } else {
+            List.copyOf(mute).forEach(Channel::close);
+        }
+    }
+
     void silent(boolean on) {
         silent = on;
         if (!on) {
+            nowReachable();
             // What it would have said meanwhile is lost to the watches that stayed open: they end.
             List.copyOf(watches).forEach(Channel::close);
             unanswered.forEach(Channel::close);
@@ -175,6 +201,8 @@
         down = on;
         if (on) {
             List.copyOf(all).forEach(Channel::close);
+        } else {
+            nowReachable();
         }
     }
 
--- a/src/test/java/junctionhead/rig/DemoTest.java
+++ b/src/test/java/junctionhead/rig/DemoTest.java
@@ -109,4 +109,25 @@
         assertTrue(told().contains("unanswered: 0"), this::told);
         assertTrue(told().contains("stopped: "), this::told);
     }
+
+    /**
+     * The watch's connection is cut off right after a beat: what drains then has to be learned anew in
+     * time.
+     */
+    @Test
+    void aDrainIsKeptThatACutWatchDoesNotTell()
+            throws IOException, InterruptedException, ScenarioReader.Bad {
+        String scenario = ScenarioReaderTest.SMALL.replace("\"2s\"\n[[boxes]]", "\"11s\"\n[[boxes]]") + """
+            [[fault]]
+            at = "1900ms"
+            what = "watches-cut"
+            lasting = "9s"
+            [[fault]]
+            at = "2s"
+            what = "drain"
+            boxes = "box-1"
+            lasting = "20s"
+            """;
+        assertEquals(Demo.End.CLEAN, play(scenario, REAL), this::told);
+    }
 }
