--- a/src/main/java/junctionhead/config/Config.java
+++ b/src/main/java/junctionhead/config/Config.java
@@ -6,18 +6,24 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import junctionhead.SettingsReader;
+import junctionhead.connections.Limits;
 import junctionhead.core.Addresses;
 import junctionhead.core.Targets;
 import junctionhead.membership.TargetsReader;
 
-/** What a balancer is told at its start, by its environment and its configuration file. */
+/**
+ * What a balancer is told at its start, whichever form it stands in; {@code discovery} is null where the
+ * list of
+ * upstreams is {@code known} from here alone.
+ */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-        int sockets, Targets known, SettingsReader.Boot boot) {
+        Limits connections, Targets known, SettingsReader.Boot boot) {
     private static final Path LIMITS = Path.of("/proc/self/limits");
     private static final int SOCKETS = 1024;        // assumed where neither file nor system tells
 
@@ -30,6 +36,24 @@
         }
     }
 
+    /** What differs in another one and can't change in service: names for a line of the log. */
+    public List<String> waiting(Config fresh) {
+        List<String> waiting = new ArrayList<>();
+        if (!fresh.listen.equals(listen)) {
+            waiting.add("listener");
+        }
+        if (!fresh.connections.equals(connections)) {
+            waiting.add("connections");
+        }
+        if ((fresh.discovery == null) != (discovery == null)) {
+            waiting.add("source of the list");
+        }
+        if (!fresh.boot.equals(boot)) {
+            waiting.add("settings");
+        }
+        return waiting;
+    }
+
     /** Reads the file that {@code ROUTER_CONFIG} names; the other variables win over what it says. */
     public static Config read(Map<String, String> environment) {
         String file = environment.get("ROUTER_CONFIG");
@@ -78,9 +102,9 @@
         Object limits = json.get("limits");
         Object sockets = limits instanceof Map ? ((Map<?, ?>) limits).get("sockets") : null;
         int told = sockets instanceof Number ? ((Number) sockets).intValue() : Integer.MAX_VALUE;
-        int most = Math.min(told, descriptors());
+        int most = Math.min(told, most());
         return new Config(name, listen, discovery, seed(json.get("seed")),
-            most == Integer.MAX_VALUE ? SOCKETS : most, known, boot);
+            Limits.of(most == Integer.MAX_VALUE ? SOCKETS : most), known, boot);
     }
 
     private static String told(Map<String, String> environment, String variable, Map<String, Object> json,
@@ -116,7 +140,7 @@
     }
 
     /** The soft limit on descriptors, read without the management classes: they make a start longer. */
-    private static int descriptors() {
+    private static int most() {
         try {
             for (String line : Files.readAllLines(LIMITS)) {
                 if (line.toLowerCase(Locale.ROOT).startsWith("max open files")) {
@@ -128,4 +152,10 @@
         }
         return Integer.MAX_VALUE;
     }
+
+    /** Descriptors that this process may hold, as far as the system tells. */
+    public static int descriptors() {
+        int most = most();
+        return most == Integer.MAX_VALUE ? SOCKETS : most;
+    }
 }
--- a/src/rig/java/junctionhead/rig/Units.java
+++ b/src/main/java/junctionhead/config/toml/Units.java
@@ -1,4 +1,4 @@
-package junctionhead.rig;
+package junctionhead.config.toml;
 
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
--- a/src/main/java/junctionhead/node/Node.java
+++ b/src/main/java/junctionhead/node/Node.java
@@ -6,6 +6,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -16,13 +17,13 @@
 import junctionhead.Policy;
 import junctionhead.config.Config;
 import junctionhead.connections.Budget;
-import junctionhead.connections.Limits;
 import junctionhead.core.Addresses;
 import junctionhead.core.Clock;
 import junctionhead.core.Dispatcher;
 import junctionhead.core.Targets;
 import junctionhead.front.http1.ClientServer;
 import junctionhead.membership.Discovery;
+import junctionhead.membership.StaticList;
 import junctionhead.upstream.Upstreams;
 
 /** One real balancer: its start, its readiness and its orderly stop. */
@@ -36,7 +37,8 @@
     private final EventLoop loop = group.next();
     private final Dispatcher dispatcher;
     private final Upstreams upstreams;
-    private final Discovery discovery;
+    private final Discovery discovery;              // null where the list stands in the configuration
+    private final StaticList fixed;                 // null where it doesn't
     private final Budget budget;
     private final ClientServer clients;
     private final Config config;
@@ -51,23 +53,30 @@
         this.rehearsed = !rehearse;
         this.config = config;
         this.log = log;
-        budget = new Budget(Limits.of(config.sockets()), System.nanoTime());
+        budget = new Budget(config.connections(), System.nanoTime());
         Policy policy = module.apply(config.boot().settings(), config.seed());
         dispatcher = new Dispatcher(new NettyLoop(loop), Clock.system(), config.boot(), policy, log);
         upstreams = new Upstreams(loop, config.boot(), budget, dispatcher::now);
-        discovery = new Discovery(loop, config.discovery(), config.boot(), config.known().rev(),
-            this::listed, log);
+        boolean asked = config.discovery() != null;
+        discovery = asked ? new Discovery(loop, config.discovery(), config.boot(), config.known().rev(),
+            this::listed, log) : null;
+        fixed = asked ? null : new StaticList(config.known(), this::listed);
         clients = new ClientServer(loop, config.boot(), dispatcher, budget, log);
-        dispatcher.attach(upstreams, discovery);
+        dispatcher.attach(upstreams, asked ? discovery : fixed);
     }
 
     /** Runs a balancer until it is told to stop; returns only if it can't start. */
     public static int serve(Map<String, String> environment) {
+        return serve(() -> Config.read(environment), () -> Config.again(environment));
+    }
+
+    /** The same, told by {@code first} at its start and by {@code again} after each SIGHUP. */
+    public static int serve(Supplier<Config> first, Supplier<Config> again) {
         Consumer<String> log = line -> System.err.println("junctionhead: " + line);
         Node node;
         InetSocketAddress at;
         try {
-            node = new Node(Config.read(environment), Balance::new, true, log);
+            node = new Node(first.get(), Balance::new, true, log);
         } catch (Config.Bad e) {
             log.accept(e.getMessage());
             return 1;
@@ -83,7 +92,7 @@
             // Without this the exit code would tell of the signal, not of the orderly end.
             Runtime.getRuntime().halt(0);
         }));
-        if (!Hangup.onEach(() -> node.reload(() -> Config.again(environment)))) {
+        if (!Hangup.onEach(() -> node.reload(again))) {
             log.accept("no SIGHUP here: a new configuration needs a restart");
         }
         // Said only now: whoever reads it may send the signals at once.
@@ -97,7 +106,11 @@
         InetSocketAddress at = clients.listen(config.listen());
         loop.execute(() -> {
             listed(Policy.ListKind.PERSISTED, config.known());
-            discovery.start();
+            if (discovery != null) {
+                discovery.start();
+            } else {
+                fixed.start();
+            }
             if (!rehearsed) {
                 Rehearsal rehearsal = new Rehearsal(loop, config, () -> {
                     rehearsed = true;
@@ -132,10 +145,18 @@
             log.accept("configuration not taken over: " + e.getMessage());
             return;
         }
+        List<String> waiting = config.waiting(fresh);
         InetSocketAddress to = fresh.discovery();
-        log.accept("configuration taken over: discovery at " + Addresses.text(to)
-            + (fresh.boot().equals(config.boot()) ? "" : "; new settings wait for a restart"));
-        loop.execute(() -> discovery.moveTo(to));
+        String waits = waiting.isEmpty() ? "" : "; new " + String.join(", ", waiting) + " wait for a restart";
+        if (discovery != null && to != null) {
+            log.accept("configuration taken over: discovery at " + Addresses.text(to) + waits);
+            loop.execute(() -> discovery.moveTo(to));
+        } else if (fixed != null && to == null) {
+            log.accept("configuration taken over: " + fresh.known().list().size() + " upstreams" + waits);
+            loop.execute(() -> fixed.replace(fresh.known()));
+        } else {
+            log.accept("configuration not taken over: new " + String.join(", ", waiting) + " need a restart");
+        }
     }
 
     // Ready once an upstream may be sent to: what was known from before will do until discovery answers.
--- a/src/main/java/junctionhead/node/Rehearsal.java
+++ b/src/main/java/junctionhead/node/Rehearsal.java
@@ -13,7 +13,6 @@
 import junctionhead.SettingsReader;
 import junctionhead.config.Config;
 import junctionhead.connections.Budget;
-import junctionhead.connections.Limits;
 import junctionhead.core.Clock;
 import junctionhead.core.Dispatcher;
 import junctionhead.core.Drill;
@@ -60,7 +59,7 @@
         this.token = Long.toHexString(new SplittableRandom(config.seed() ^ System.nanoTime()).nextLong());
         Policy policy = new Balance(boot.settings(), config.seed());
         dispatcher = new Dispatcher(new NettyLoop(loop), Clock.system(), boot, policy, line -> { });
-        Budget budget = new Budget(Limits.of(config.sockets()), System.nanoTime());
+        Budget budget = new Budget(config.connections(), System.nanoTime());
         back = new Upstreams(loop, boot, budget, dispatcher::now);
         front = new Upstreams(loop, boot, budget, dispatcher::now);
         dispatcher.attach(back, Membership.NONE);
--- a/src/rig/java/junctionhead/cli/Cli.java
+++ b/src/rig/java/junctionhead/cli/Cli.java
@@ -2,23 +2,32 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.URISyntaxException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.function.Supplier;
 import junctionhead.Main;
+import junctionhead.config.Config;
+import junctionhead.config.toml.ConfigFile;
+import junctionhead.config.toml.Problems;
+import junctionhead.node.Node;
 import junctionhead.rig.Bench;
 import junctionhead.rig.Demo;
 import picocli.AutoComplete;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
 
 /** The command line of the whole product; the served archive has {@code serve} and {@code wirehost} only. */
 @Command(name = "honeyspindle", mixinStandardHelpOptions = true, version = "honeyspindle 0.1.0",
     description = "A balancer for HTTP services that loses nothing, does nothing twice and keeps drains.",
     synopsisSubcommandLabel = "COMMAND", subcommands = {Cli.DemoCommand.class, Cli.BenchCommand.class,
+        Cli.Check.class, Cli.Defaults.class,
     Cli.Serve.class,
         Cli.Wirehost.class, AutoComplete.GenerateCompletion.class},
     exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:all went well", "1:it failed, as told",
@@ -129,13 +138,67 @@
         }
     }
 
-    /** A balancer, as the platform starts it. */
-    @Command(name = "serve", mixinStandardHelpOptions = true,
-        description = "Runs a balancer, as ROUTER_NAME, _LISTEN, _DISCOVERY and _CONFIG tell it.")
+    /** A balancer, told by a file or as the platform does. */
+    @Command(name = "serve", mixinStandardHelpOptions = true, description =
+        "Runs a balancer, told by a configuration file, or without one by ROUTER_NAME, ROUTER_LISTEN, "
+
+        + "ROUTER_DISCOVERY and ROUTER_CONFIG. SIGHUP makes it read its file again, SIGTERM ends it in "
+        + "order.")
     static final class Serve implements Callable<Integer> {
+        @Option(names = "--config", paramLabel = "FILE", description = "see `config` and `check`")
+        private File config;
+
+        @Override
+        public Integer call() {
+            if (config == null) {
+                return Node.serve(System.getenv());
+            }
+            Supplier<Config> read = () -> {
+                try {
+                    return ConfigFile.read(config.toPath());
+                } catch (IOException | Problems.Bad e) {
+                    throw new Config.Bad(told(config, e));
+                }
+            };
+            return Node.serve(read, read);
+        }
+    }
+
+    private static String told(File file, Exception e) {
+        return e instanceof Problems.Bad ? e.getMessage()
+            : "can't read " + file + " (" + e.getClass().getSimpleName() + ")";
+    }
+
+    /** Whether a file can be used. */
+    @Command(name = "check", mixinStandardHelpOptions = true,
+        description = "Names every problem of a configuration file, each with its line.",
+        exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:it can be used", "1:it can't, as told"})
+    static final class Check implements Callable<Integer> {
+        @Parameters(paramLabel = "FILE")
+        private File file;
+
         @Override
         public Integer call() {
-            Main.main(new String[] {"serve"});
+            try {
+                ConfigFile.read(file.toPath());
+                System.out.println(file + ": in order");
+                return 0;
+            } catch (IOException | Problems.Bad e) {
+                System.err.println(told(file, e));
+                return 1;
+            }
+        }
+    }
+
+    /** The defaults. */
+    @Command(name = "config", mixinStandardHelpOptions = true,
+        description = "Prints a configuration file with all defaults and what they mean.")
+    static final class Defaults implements Callable<Integer> {
+        @Override
+        public Integer call() throws IOException {
+            try (InputStream in = ConfigFile.class.getResourceAsStream("default.toml")) {
+                System.out.print(new String(in.readAllBytes(), StandardCharsets.UTF_8));
+            }
             return 0;
         }
     }
--- a/src/rig/java/junctionhead/rig/Demo.java
+++ b/src/rig/java/junctionhead/rig/Demo.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import junctionhead.config.toml.Problems;
 import junctionhead.core.Clock;
 
 /**
@@ -227,7 +228,7 @@
             }
             return new Demo(scenario.with(seconds, rate), (s, known, discovery) ->
                 BalancerProcess.start(classPath, s, known, discovery, READY_S), out, terminal);
-        } catch (ScenarioReader.Bad e) {
+        } catch (Problems.Bad e) {
             throw new IllegalArgumentException(e.getMessage(), e);
         }
     }
--- a/src/test/java/junctionhead/HouseTest.java
+++ b/src/test/java/junctionhead/HouseTest.java
@@ -73,9 +73,10 @@
     @Test
     void onlyTheNodePutsThemTogether() {
         classes().that().resideInAPackage("junctionhead.node..").should().onlyHaveDependentClassesThat()
-            .resideInAnyPackage("junctionhead.node..", "junctionhead").check(ALL);
-        noClasses().that().resideOutsideOfPackages("junctionhead.rig..", "junctionhead.cli..")
+            .resideInAnyPackage("junctionhead.node..", "junctionhead", "junctionhead.cli..").check(ALL);
+        noClasses().that().resideOutsideOfPackages("junctionhead.rig..", "junctionhead.cli..",
+                "junctionhead.config.toml..")
             .should().dependOnClassesThat().resideInAnyPackage("junctionhead.rig..", "junctionhead.cli..",
-                "picocli..", "org.tomlj..", "org.HdrHistogram..").check(ALL);
+                "junctionhead.config.toml..", "picocli..", "org.tomlj..", "org.HdrHistogram..").check(ALL);
     }
 }
--- a/src/test/java/junctionhead/cli/CliTest.java
+++ b/src/test/java/junctionhead/cli/CliTest.java
@@ -22,7 +22,7 @@
         .split(java.io.File.pathSeparator)).filter(e -> !e.contains("slf4j") && !e.contains("archunit"))
         .collect(Collectors.joining(java.io.File.pathSeparator));
 
-    private static Process start(String... arguments) throws IOException {
+    static Process start(String... arguments) throws IOException {
         List<String> command = new java.util.ArrayList<>(List.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp", CLASS_PATH,
             "junctionhead.cli.Cli"));
--- /dev/null
+++ b/src/test/java/junctionhead/config/toml/ConfigFileTest.java
@@ -0,0 +1,141 @@
+package junctionhead.config.toml;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import junctionhead.Policy;
+import junctionhead.config.Config;
+import org.junit.jupiter.api.Test;
+
+class ConfigFileTest {
+    private static String defaults() throws IOException {
+        try (InputStream in = ConfigFile.class.getResourceAsStream("default.toml")) {
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    @Test
+    void theDefaultsAreInOrderAndMeanWhatLeavingThemOutMeans() throws IOException, Problems.Bad {
+        Config all = ConfigFile.read("f.toml", defaults());
+        Config least = ConfigFile.read("f.toml", """
+            [[membership.server]]
+            id = "box-1"
+            address = "127.0.0.1:9001"
+            [[class]]
+            name = "read"
+            effect = "safe"
+            aim = "200ms"
+            deadline = "1s"
+            """);
+        assertEquals(least.boot(), all.boot());
+        assertEquals(least.known(), all.known());
+        assertEquals(least.connections(), all.connections());
+        assertEquals(least.listen(), all.listen());
+        assertEquals(Policy.Discovery.PUSH, all.boot().settings().discovery());
+    }
+
+    /** Each setting that stands there as a comment may be used. */
+    @Test
+    void whatIsCommentedOutIsInOrderToo() throws IOException, Problems.Bad {
+        String text = defaults().replace("source = \"static\" ", "source = \"discovery\" ")
+            .replaceAll("(?m)^# (?=[a-z\\[])", "").replaceAll("(?s)\\[\\[membership.server]].*?\\n\\n", "");
+        Config config = ConfigFile.read("f.toml", text);
+        assertEquals(8500, config.discovery().getPort());
+        assertEquals(960, config.connections().most());
+        assertEquals(List.of("acme"), config.boot().tenants());
+        assertEquals(1, config.seed());
+    }
+
+    @Test
+    void tenProblemsAreToldAtOnceInTheOrderOfTheFile() {
+        String text = """
+            [node]
+            listen = "localhost:80"
+            rank = 3
+            sede = 4
+            [membership]
+            source = "static"
+            [[membership.server]]
+            id = "a"
+            address = "127.0.0.1:99999"
+            wieght = 2
+            [[class]]
+            name = "read"
+            effect = "harmless"
+            aim = "200"
+            deadline = "1s"
+            [[class]]
+            name = "read"
+            effect = "keyed"
+            aim = "2s"
+            deadline = "1s"
+            zones = ["b"]
+            [limits]
+            connect = 5
+            client-floor = 0.9
+            """;
+        assertEquals(List.of(
+            "f.toml:1: node.rank: not below node.balancers, which is 1",
+            "f.toml:2: node.listen: not an address: 'localhost'",
+            "f.toml:4: node.sede: unknown; the nearest known is 'seed'",
+            "f.toml:9: membership.server[0].address: not address:port: '127.0.0.1:99999'",
+            "f.toml:10: membership.server[0].wieght: unknown; the nearest known is 'weight'",
+            "f.toml:13: class[0].effect: not one of safe, keyed, unsafe: 'harmless'",
+            "f.toml:14: class[0].aim: not a time like 250ms or 1.5s: '200'",
+            "f.toml:16: class[1].window: missing: for how long a keyed request's key is remembered",
+            "f.toml:16: class[1].name: stands twice: 'read'",
+            "f.toml:19: class[1].aim: longer than the deadline",
+            "f.toml:21: class[1].zones: not among [default]: [b]",
+            "f.toml:23: limits.connect: not a time like 250ms or 1.5s: '5'",
+            "f.toml:24: limits.client-floor: with the others of the table impossible upstreamFloor: 0.2"),
+            assertThrows(Problems.Bad.class, () -> ConfigFile.read("f.toml", text)).problems());
+    }
+
+    @Test
+    void classesTenantsAndServersReachTheModel() throws Problems.Bad {
+        Config config = ConfigFile.read("f.toml", """
+            node = { zone = "b", seed = 7 }
+            [membership]
+            zones = ["a", "b"]
+            [[membership.server]]
+            id = "s1"
+            address = "127.0.0.1:9001"
+            zone = "b"
+            model = "big"
+            cell = 4
+            weight = 2.5
+            [[class]]
+            name = "read"
+            effect = "safe"
+            aim = "200ms"
+            deadline = "1s"
+            [[class]]
+            name = "stamp"
+            effect = "keyed"
+            window = "5s"
+            aim = "250ms"
+            deadline = "500ms"
+            worth = 9
+            late = 0.25
+            zones = ["b"]
+            models = ["big"]
+            [[tenant]]
+            name = "acme"
+            allowance = 20
+            """);
+        assertEquals(List.of("read", "stamp"), config.boot().classes());
+        Policy.RequestClass stamp = config.boot().settings().classes().get(1);
+        assertEquals(5_000_000, stamp.keyMemory());
+        assertEquals(java.util.Set.of(1), stamp.zones());
+        assertEquals(1, config.boot().settings().zone());
+        assertEquals(new Policy.Server("s1", Policy.State.UP, 0, 2.5, 4, 0, 1),
+            config.known().servers().get(0));
+        assertEquals(20, config.boot().settings().tenants().get(0).allowancePerSecond());
+        assertTrue(config.waiting(config).isEmpty());
+    }
+}
--- a/src/test/java/junctionhead/rig/DemoTest.java
+++ b/src/test/java/junctionhead/rig/DemoTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.stream.Collectors;
+import junctionhead.config.toml.Problems;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -23,7 +24,7 @@
     private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
 
     private Demo.End play(String scenario, Demo.Balancers balancers)
-            throws IOException, InterruptedException, ScenarioReader.Bad {
+            throws IOException, InterruptedException, Problems.Bad {
         try (PrintStream out = new PrintStream(bytes, true, StandardCharsets.UTF_8);
              Demo demo = new Demo(ScenarioReader.read("test.toml", scenario), balancers, out, false)) {
             return demo.play();
@@ -41,7 +42,7 @@
     @CsvSource({"NONE, CLEAN, booked twice: 0", "DOUBLES, BROKEN, booked twice:",
         "FORGETS, BROKEN, unanswered:", "REFUSES_WHAT_RAN, BROKEN, refused after it ran:"})
     void theLedgerCatchesABalancerThatBreaksARule(Twin.Fault fault, Demo.End end, String words)
-            throws IOException, InterruptedException, ScenarioReader.Bad {
+            throws IOException, InterruptedException, Problems.Bad {
         assertEquals(end, play(ScenarioReaderTest.SMALL.replace("\"2s\"\n[[boxes]]", "\"1s\"\n[[boxes]]"),
             (scenario, known, discovery) -> new Twin(known, fault)), this::told);
         assertTrue(told().contains(words), this::told);
@@ -55,7 +56,7 @@
     /** Half of the boxes die with what they hold, and come back cold; others drain and are lied about. */
     @Test
     void theRealBalancerKeepsTheRulesThroughItsFaults()
-            throws IOException, InterruptedException, ScenarioReader.Bad {
+            throws IOException, InterruptedException, Problems.Bad {
         String scenario = ScenarioReaderTest.SMALL.replace("\"2s\"\n[[boxes]]", "\"6s\"\n[[boxes]]")
             .replace("count = 4", "count = 8\ncores = 4\ncell = 2") + """
             [[class]]
@@ -116,7 +117,7 @@
      */
     @Test
     void aDrainIsKeptThatACutWatchDoesNotTell()
-            throws IOException, InterruptedException, ScenarioReader.Bad {
+            throws IOException, InterruptedException, Problems.Bad {
         String scenario = ScenarioReaderTest.SMALL.replace("\"2s\"\n[[boxes]]", "\"11s\"\n[[boxes]]") + """
             [[fault]]
             at = "1900ms"
--- a/src/test/java/junctionhead/rig/ScenarioReaderTest.java
+++ b/src/test/java/junctionhead/rig/ScenarioReaderTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.List;
+import junctionhead.config.toml.Problems;
 import org.junit.jupiter.api.Test;
 
 class ScenarioReaderTest {
@@ -51,7 +52,7 @@
             what = "stal"
             boxes = "b-1"
             """;
-        List<String> problems = assertThrows(ScenarioReader.Bad.class,
+        List<String> problems = assertThrows(Problems.Bad.class,
             () -> ScenarioReader.read("f.toml", text)).problems();
         assertEquals(List.of(
             "f.toml:1: rate: not a number: many",
@@ -70,7 +71,7 @@
     @Test
     void whatIsMissingIsNamed() {
         assertEquals(List.of("f.toml:1: rate: missing", "f.toml:1: class: missing: at least one [[class]]",
-            "f.toml:1: boxes[0].name: missing"), assertThrows(ScenarioReader.Bad.class,
+            "f.toml:1: boxes[0].name: missing"), assertThrows(Problems.Bad.class,
                 () -> ScenarioReader.read("f.toml", "[[boxes]]\n")).problems().stream().sorted(
                     java.util.Comparator.comparing((String p) -> !p.contains("rate")).thenComparing(
                         p -> p.contains("boxes"))).toList());
@@ -78,13 +79,13 @@
 
     @Test
     void whatIsNotTomlIsToldWithItsLine() {
-        assertEquals("f.toml:2: not TOML", assertThrows(ScenarioReader.Bad.class,
+        assertEquals("f.toml:2: not TOML", assertThrows(Problems.Bad.class,
             () -> ScenarioReader.read("f.toml", "rate = 1\nlasting = = 2\n")).problems().get(0).substring(0,
             18));
     }
 
     @Test
-    void theSameSeedGivesTheSameScriptAndAnotherSeedAnother() throws ScenarioReader.Bad {
+    void theSameSeedGivesTheSameScriptAndAnotherSeedAnother() throws Problems.Bad {
         Scenario scenario = ScenarioReader.read("f.toml", SMALL);
         List<Script.Order> first = Script.of(scenario);
         assertEquals(first, Script.of(scenario));
