A log that nobody reads no longer stops the balancer

Seen: the event loop wrote its lines itself. With a pipe that nobody reads it stood still with all requests: the test (200 requests, 20 lines each, an unread pipe of 64 bytes) hung until it was ended, with the lines written on the loop.

The last lines are waited for at the end, for 0.5 s.

--- a/src/main/java/junctionhead/node/Node.java
+++ b/src/main/java/junctionhead/node/Node.java
@@ -22,6 +22,7 @@
 import junctionhead.core.Dispatcher;
 import junctionhead.core.Targets;
 import junctionhead.front.http1.ClientServer;
+import junctionhead.log.LineSink;
 import junctionhead.membership.Discovery;
 import junctionhead.membership.StaticList;
 import junctionhead.upstream.Upstreams;
@@ -30,6 +31,7 @@
 public final class Node {
     private static final long LINGER_MS = 600;      // after SIGTERM: clients go on coming for a while
     private static final long FLUSH_MS = 20;        // for the last answers to leave
+    private static final long LAST_LINES_MS = 500;  // for the last lines, if somebody reads them
 
     private final Consumer<String> log;
     private final EventLoopGroup group =
@@ -72,23 +74,26 @@
 
     /** The same, told by {@code first} at its start and by {@code again} after each SIGHUP. */
     public static int serve(Supplier<Config> first, Supplier<Config> again) {
-        Consumer<String> log = line -> System.err.println("junctionhead: " + line);
+        LineSink log = new LineSink(System.err, "junctionhead: ");
         Node node;
         InetSocketAddress at;
         try {
             node = new Node(first.get(), Balance::new, true, log);
         } catch (Config.Bad e) {
             log.accept(e.getMessage());
+            log.close(LAST_LINES_MS);
             return 1;
         }
         try {
             at = node.start();
         } catch (Exception e) {     // sync() rethrows what bind failed with, whatever its type
             log.accept("can't listen on " + node.config.listen() + ": " + e.getMessage());
+            log.close(LAST_LINES_MS);
             return 1;
         }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             node.stop();
+            log.close(LAST_LINES_MS);
             // Without this the exit code would tell of the signal, not of the orderly end.
             Runtime.getRuntime().halt(0);
         }));
--- a/src/test/java/junctionhead/node/LifeCycleTest.java
+++ b/src/test/java/junctionhead/node/LifeCycleTest.java
@@ -12,6 +12,12 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import junctionhead.config.Config;
+import java.io.PipedInputStream;
+import java.io.PipedOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import junctionhead.log.LineSink;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -101,4 +107,28 @@
         }
         throw new AssertionError("taken");
     }
+
+    /** The loop wrote its lines itself, and stood still with its requests where nobody read them. */
+    @Test
+    @Timeout(120)
+    void requestsGoOnWhileNobodyReadsTheLog() throws IOException, InterruptedException {
+        PipedOutputStream pipe = new PipedOutputStream(new PipedInputStream(64));
+        LineSink sink = new LineSink(new PrintStream(pipe, true, StandardCharsets.UTF_8), "");
+        node = new Node(config(1024, settings(), 0), (s, seed) -> module, false, sink);
+        at = node.start();
+        assertEquals("PERSISTED [s1=UP]", module.next());
+        try (Client client = new Client(at)) {
+            for (int i = 0; i < 200; i++) {
+                onLoop(() -> {
+                    for (int line = 0; line < 20; line++) {
+                        module.actions.remark("a line that nobody reads");
+                    }
+                });
+                client.send(SAFE);
+                upstream.next().answer(200, "", "ok");
+                assertEquals(200, client.status());
+                assertEquals("OK closed", module.next());
+            }
+        }
+    }
 }
