Names in the file are checked; the last line of a run tells what became of requests

Seen on reading: a comma in a server's zone was read as two zones and bound servers to the wrong ones (`check` called such a file in order), and what the model refuses would have left SIGHUP with an exception that nobody caught. Names are now free of spaces and commas, and the model's refusal is a problem like any other. The line 'stopped' carries the tally: served in time, late, refused, failed, gone.

--- a/src/main/java/junctionhead/config/toml/ConfigFile.java
+++ b/src/main/java/junctionhead/config/toml/ConfigFile.java
@@ -108,14 +108,25 @@
         put(wire, "Rules.AskWithin", members.askWithin());
         put(wire, "WorthBy", "work");
         put(wire, "Stats.How", "answers");
-        SettingsReader.Boot boot = SettingsReader.read(wire, (path, what) -> {
-            top.complain(path, 1, what);
-            return new IllegalArgumentException(path + ": " + what);
-        });
+        SettingsReader.Boot boot = boot(top, wire, problems);
         return new Config(node.name(), node.listen(), members.address(), node.seed(), connections,
             known(members, boot), boot);
     }
 
+    // What the checks above let through and the model does not take: told like any other problem.
+    private static SettingsReader.Boot boot(Table top, Map<String, String> wire, Problems problems)
+            throws Problems.Bad {
+        try {
+            return SettingsReader.read(wire, (path, what) -> {
+                top.complain(path, 1, what);
+                return new IllegalArgumentException(path + ": " + what);
+            });
+        } catch (IllegalArgumentException e) {
+            problems.check();
+            throw e;
+        }
+    }
+
     private static void put(Map<String, String> wire, String path, Object value) {
         wire.put(path, String.valueOf(value));
     }
@@ -125,7 +136,7 @@
         return new Node(t.text("name", "honeyspindle"), address(t, "listen", t.text("listen",
             "127.0.0.1:8080")),
             (long) t.number("seed", drawn, 0, 1e15), (int) t.number("balancers", 1, 1, 10_000),
-            (int) t.number("rank", 0, 0, 9_999), t.text("zone", "default"));
+            (int) t.number("rank", 0, 0, 9_999), t.name("zone", "default"));
     }
 
     private static InetSocketAddress address(Table t, String key, String text) {
@@ -144,8 +155,8 @@
         Policy.Discovery mode = asked ? t.word("mode", Policy.Discovery.class, Policy.Discovery.ASK)
             : Policy.Discovery.PUSH;
         long askWithin = asked ? t.time("ask-within", "10s") : 0;
-        List<Server> servers = asked ? List.of() : t.tables("server").map(s -> new Server(s.text("id", null),
-            address(s, "address", s.text("address", null)), s.text("zone", "default"), s.text("model", "any"),
+        List<Server> servers = asked ? List.of() : t.tables("server").map(s -> new Server(s.name("id", null),
+            address(s, "address", s.text("address", null)), s.name("zone", "default"), s.name("model", "any"),
             (int) s.number("cell", -1, -1, 1e6), s.number("weight", 1, 1e-3, 1e6)));
         List<String> zones = t.texts("zones",
             servers.stream().map(Server::zone).distinct().sorted().toList());
@@ -166,7 +177,7 @@
     }
 
     private static String kind(Table t, Map<String, String> wire, Members members) {
-        String name = t.text("name", null);
+        String name = t.name("name", null);
         int number = (int) wire.keySet().stream().filter(k -> k.endsWith(".Idempotency")).count();
         String at = "Classes." + number + ".";
         put(wire, at + "Name", name);
@@ -204,7 +215,7 @@
     }
 
     private static String tenant(Table t, Map<String, String> wire) {
-        String name = t.text("name", null);
+        String name = t.name("name", null);
         int number = (int) wire.keySet().stream().filter(k -> k.startsWith("Realms.") && k.endsWith(".Name"))
             .count();
         put(wire, "Realms." + number + ".Name", name);
--- a/src/main/java/junctionhead/config/toml/Table.java
+++ b/src/main/java/junctionhead/config/toml/Table.java
@@ -84,6 +84,16 @@
         return "?";
     }
 
+    /** A text that may stand in a list: without spaces and commas. */
+    public String name(String key, String otherwise) {
+        String text = text(key, otherwise);
+        if (!text.matches("[^,\\s]+")) {
+            complain(key, "not a name without spaces and commas: '" + text + "'");
+            return "?";
+        }
+        return text;
+    }
+
     public double number(String key, Number otherwise, double least, double most) {
         Object value = value(key, otherwise == null);
         if (value == null) {
--- a/src/main/java/junctionhead/core/Dispatcher.java
+++ b/src/main/java/junctionhead/core/Dispatcher.java
@@ -248,7 +248,7 @@
 
     public String summary() {
         return taken + " requests taken, " + owed + " unanswered, " + guarded + " last-resort answers, "
-            + faults + " faults";
+            + faults + " faults; " + tally.summary();
     }
 
     // ---------------------------------------------------------------- the module's actions
--- a/src/test/java/junctionhead/config/toml/ConfigFileTest.java
+++ b/src/test/java/junctionhead/config/toml/ConfigFileTest.java
@@ -96,6 +96,25 @@
             assertThrows(Problems.Bad.class, () -> ConfigFile.read("f.toml", text)).problems());
     }
 
+    /** A comma in a zone's name would have made two zones of one, and bound servers to the wrong ones. */
+    @Test
+    void namesThatCouldBeReadAsListsAreProblems() {
+        assertEquals(List.of(
+            "f.toml:4: membership.server[0].zone: not a name without spaces and commas: 'a,b'",
+            "f.toml:6: class[0].name: not a name without spaces and commas: 'read all'"),
+            assertThrows(Problems.Bad.class, () -> ConfigFile.read("f.toml", """
+                [[membership.server]]
+                id = "s"
+                address = "127.0.0.1:1"
+                zone = "a,b"
+                [[class]]
+                name = "read all"
+                effect = "safe"
+                aim = "1s"
+                deadline = "1s"
+                """)).problems().stream().filter(p -> !p.contains("node.zone")).toList());
+    }
+
     @Test
     void classesTenantsAndServersReachTheModel() throws Problems.Bad {
         Config config = ConfigFile.read("f.toml", """
