The demo is not clean where the balancer takes nothing

Seen on reading: a balancer that answers every order with 404, or refuses connections, booked nothing twice and left nothing unanswered, and the demo ended with code 0. Orders that are not taken now count against a run: all of the rig's are well formed. The test, a twin that answers 404, was red before.

--- a/src/rig/java/junctionhead/cli/Cli.java
+++ b/src/rig/java/junctionhead/cli/Cli.java
@@ -69,7 +69,7 @@
     @Command(name = "demo", mixinStandardHelpOptions = true, description =
         "Starts stand-in boxes, a discovery, a balancer and load on this machine, lets faults happen, and "
         + "ends with the tally.", exitCodeListHeading = "%nExit codes:%n", exitCodeList = {
-            "0:no order was booked twice, none went unanswered, all drains were kept, no cold box fell",
+            "0:every order was taken and answered, none booked twice, drains kept, no cold box fell",
             "1:one of these failed: its order and history are named", "2:the command line can't be used",
             "130:ended by SIGINT, after the tally"})
     static final class DemoCommand implements Callable<Integer> {
--- a/src/rig/java/junctionhead/rig/Demo.java
+++ b/src/rig/java/junctionhead/rig/Demo.java
@@ -106,7 +106,7 @@
                     + String.join(" | ", balancer.log()));
             }
             return aborted.get() ? End.INTERRUPTED
-                : orderly && Report.isClean(ledger, boxes) ? End.CLEAN : End.BROKEN;
+                : orderly && Report.isClean(tallies, ledger, boxes) ? End.CLEAN : End.BROKEN;
         } finally {
             told.countDown();
             close();
--- a/src/rig/java/junctionhead/rig/Report.java
+++ b/src/rig/java/junctionhead/rig/Report.java
@@ -10,9 +10,10 @@
 
     private Report() { }
 
-    /** Whether nothing went against the rules. */
-    static boolean isClean(Ledger ledger, List<Fleet.Standing> boxes) {
-        return ledger.findings().isEmpty() && boxes.stream().allMatch(b -> b.falls() == 0);
+    /** Whether nothing went against the rules, and every order was taken: all of them are well formed. */
+    static boolean isClean(Tallies tallies, Ledger ledger, List<Fleet.Standing> boxes) {
+        return ledger.findings().isEmpty() && tallies.all().notTaken == 0
+            && boxes.stream().allMatch(b -> b.falls() == 0);
     }
 
     static List<String> lines(Tallies tallies, Ledger ledger, List<Fleet.Standing> boxes) {
--- a/src/test/java/junctionhead/rig/DemoTest.java
+++ b/src/test/java/junctionhead/rig/DemoTest.java
@@ -53,6 +53,13 @@
         }
     }
 
+    /** Nothing is booked twice or unanswered where nothing is taken at all: that is no clean run. */
+    @Test
+    void aBalancerThatTakesNothingIsNotClean() throws IOException, InterruptedException, Problems.Bad {
+        assertEquals(Demo.End.BROKEN, play(ScenarioReaderTest.SMALL.replace("\"2s\"", "\"1s\""),
+            (scenario, known, discovery) -> new Twin(known, Twin.Fault.KNOWS_NOTHING)), this::told);
+    }
+
     /** Half of the boxes die with what they hold, and come back cold; others drain and are lied about. */
     @Test
     void theRealBalancerKeepsTheRulesThroughItsFaults()
--- a/src/test/java/junctionhead/rig/Twin.java
+++ b/src/test/java/junctionhead/rig/Twin.java
@@ -20,7 +20,7 @@
 
 /** A balancer in its simplest form, and with the faults that a ledger must catch: see {@link Fault}. */
 final class Twin implements Balancer {
-    enum Fault { NONE, DOUBLES, FORGETS, REFUSES_WHAT_RAN }
+    enum Fault { NONE, DOUBLES, FORGETS, REFUSES_WHAT_RAN, KNOWS_NOTHING }
 
     private final ServerSocket server = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
     private final List<InetSocketAddress> boxes = new ArrayList<>();
@@ -71,7 +71,10 @@
             if (odd && fault == Fault.FORGETS) {
                 continue;
             }
-            byte[] answer = ask(request, number);
+            byte[] answer = fault == Fault.KNOWS_NOTHING ? null : ask(request, number);
+            if (fault == Fault.KNOWS_NOTHING) {
+                answer = "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
+            }
             if (odd && fault == Fault.DOUBLES) {
                 answer = ask(request, number + 1);
             }
