--- a/src/main/java/junctionhead/config/Config.java
+++ b/src/main/java/junctionhead/config/Config.java
@@ -15,18 +15,25 @@
 import junctionhead.connections.Limits;
 import junctionhead.core.Addresses;
 import junctionhead.core.Targets;
+import junctionhead.http3.Http3;
 import junctionhead.membership.TargetsReader;
 
 /**
  * What a balancer is told at its start, whichever form it stands in; {@code discovery} is null where the
  * list of
- * upstreams is {@code known} from here alone.
+ * upstreams is {@code known} from here alone, {@code http3} where it is off.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-        Limits connections, Targets known, SettingsReader.Boot boot) {
+        Limits connections, Targets known, SettingsReader.Boot boot, Http3 http3) {
     private static final Path LIMITS = Path.of("/proc/self/limits");
     private static final int SOCKETS = 1024;        // assumed where neither file nor system tells
 
+    /** One without HTTP/3. */
+    public Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+            Limits connections, Targets known, SettingsReader.Boot boot) {
+        this(name, listen, discovery, seed, connections, known, boot, null);
+    }
+
     /** What is wrong with the configuration, in one line. */
     public static final class Bad extends RuntimeException {
         private static final long serialVersionUID = 1L;
@@ -48,6 +55,10 @@
         if ((fresh.discovery == null) != (discovery == null)) {
             waiting.add("source of the list");
         }
+        boolean both = http3 != null && fresh.http3 != null;
+        if (both ? !http3.sameButIdentity(fresh.http3) : http3 != fresh.http3) {
+            waiting.add("http3");
+        }
         if (!fresh.boot.equals(boot)) {
             waiting.add("settings");
         }
--- a/src/main/java/junctionhead/config/toml/ConfigFile.java
+++ b/src/main/java/junctionhead/config/toml/ConfigFile.java
@@ -18,6 +18,7 @@
 import junctionhead.connections.Limits;
 import junctionhead.core.Addresses;
 import junctionhead.core.Targets;
+import junctionhead.http3.Http3;
 import org.tomlj.Toml;
 import org.tomlj.TomlParseResult;
 
@@ -57,8 +58,8 @@
     private record Members(Source source, InetSocketAddress address, Policy.Discovery mode, long askWithin,
             List<String> zones, List<String> models, List<Server> servers) { }
 
-    private record Server(String id, InetSocketAddress address, String zone, String model, int cell,
-            double weight) { }
+    private record Server(String id, InetSocketAddress address, InetSocketAddress http3, String zone,
+            String model, int cell, double weight) { }
 
     private static Config config(Table top, Problems problems) throws Problems.Bad {
         Map<String, String> wire = new HashMap<>();
@@ -83,6 +84,8 @@
             put(wire, "Rules.Fall", t.time("cold-fall", "1s"));
             return t;
         });
+        Http3 http3 = !top.has("http3") ? null
+            : top.table("http3").map(t -> Http3Table.read(t, problems.file())).get(0);
         top.end();
         unique(top, "class", classes);
         unique(top, "tenant", tenants);
@@ -110,7 +113,7 @@
         put(wire, "Stats.How", "answers");
         SettingsReader.Boot boot = boot(top, wire, problems);
         return new Config(node.name(), node.listen(), members.address(), node.seed(), connections,
-            known(members, boot), boot);
+            known(members, boot), boot, http3);
     }
 
     // What the checks above let through and the model does not take: told like any other problem.
@@ -139,7 +142,7 @@
             (int) t.number("rank", 0, 0, 9_999), t.name("zone", "default"));
     }
 
-    private static InetSocketAddress address(Table t, String key, String text) {
+    static InetSocketAddress address(Table t, String key, String text) {
         try {
             return Addresses.parse(text);
         } catch (IllegalArgumentException e) {
@@ -156,7 +159,9 @@
             : Policy.Discovery.PUSH;
         long askWithin = asked ? t.time("ask-within", "10s") : 0;
         List<Server> servers = asked ? List.of() : t.tables("server").map(s -> new Server(s.name("id", null),
-            address(s, "address", s.text("address", null)), s.name("zone", "default"), s.name("model", "any"),
+            address(s, "address", s.text("address", null)),
+            s.has("http3") ? address(s, "http3", s.text("http3", null)) : null, s.name("zone", "default"),
+            s.name("model", "any"),
             (int) s.number("cell", -1, -1, 1e6), s.number("weight", 1, 1e-3, 1e6)));
         List<String> zones = t.texts("zones",
             servers.stream().map(Server::zone).distinct().sorted().toList());
@@ -252,7 +257,7 @@
         List<Targets.Target> list = new ArrayList<>();
         for (Server s : members.servers()) {
             list.add(new Targets.Target(new Policy.Server(s.id(), Policy.State.UP, 0, s.weight(), s.cell(),
-                boot.kinds().indexOf(s.model()), boot.zones().indexOf(s.zone())), s.address()));
+                boot.kinds().indexOf(s.model()), boot.zones().indexOf(s.zone())), s.address(), s.http3()));
         }
         return new Targets(0, true, list);
     }
--- a/src/main/java/junctionhead/config/toml/Problems.java
+++ b/src/main/java/junctionhead/config/toml/Problems.java
@@ -31,6 +31,11 @@
         this.file = file;
     }
 
+    /** The file's name, as told. */
+    String file() {
+        return file;
+    }
+
     void add(int line, String text) {
         list.add(new Problem(line, text));
     }
--- a/src/main/java/junctionhead/config/toml/Table.java
+++ b/src/main/java/junctionhead/config/toml/Table.java
@@ -178,6 +178,11 @@
         return texts;
     }
 
+    /** Whether the key stands there. */
+    public boolean has(String key) {
+        return table.get(List.of(key)) != null;
+    }
+
     /** The one table of that name, or an empty one. */
     public Tables table(String key) {
         Object value = value(key, false);
--- a/src/main/java/junctionhead/core/Answer.java
+++ b/src/main/java/junctionhead/core/Answer.java
@@ -1,7 +1,21 @@
 package junctionhead.core;
 
+import junctionhead.Policy;
+
 /** An upstream's whole answer, whatever the protocol that it came by; {@code body} is not to be changed. */
 public record Answer(int status, Fields fields, byte[] body) {
+    /**
+     * What it tells of the attempt. Turned away unseen only where the upstream says so itself; any other
+     * failure may have run.
+     */
+    public Policy.Outcome outcome() {
+        if (status == 200) {
+            return Policy.Outcome.OK;
+        }
+        boolean declined = "1".equals(fields.get("Srv-Declined"));
+        return declined && (status == 503 || status == 504) ? Policy.Outcome.FULL : Policy.Outcome.ERROR;
+    }
+
     /** Its media type; null where it names none. */
     public String type() {
         return fields.get("Content-Type");
--- a/src/main/java/junctionhead/front/http1/Room.java
+++ b/src/main/java/junctionhead/core/Room.java
@@ -1,19 +1,22 @@
-package junctionhead.front.http1;
+package junctionhead.core;
 
 /**
  * The memory that clients' bodies may take together, while they come in and until they are answered. Guards
  * against a heap that many connections fill at once: each of them keeps to its own limit.
  */
-final class Room {
+public final class Room {
+    /** Bytes of bodies of clients that a node holds together, whatever front they came by. */
+    public static final long CLIENTS = 6 << 20;
+
     private final long most;
     private long held;
 
-    Room(long most) {
+    public Room(long most) {
         this.most = most;
     }
 
     /** False where there is no room: nothing is taken then. */
-    boolean take(int bytes) {
+    public boolean take(int bytes) {
         if (held + bytes > most) {
             return false;
         }
@@ -21,7 +24,7 @@
         return true;
     }
 
-    void give(int bytes) {
+    public void give(int bytes) {
         held -= bytes;
     }
 }
--- a/src/main/java/junctionhead/core/Targets.java
+++ b/src/main/java/junctionhead/core/Targets.java
@@ -6,8 +6,16 @@
 
 /** A list of upstreams, in the version {@code rev} of its source: all of them, or those that changed. */
 public record Targets(long rev, boolean all, List<Target> list) {
-    /** An upstream as the module knows it, and where this balancer reaches it. */
-    public record Target(Policy.Server server, InetSocketAddress endpoint) { }
+    /**
+     * An upstream as the module knows it, and where this balancer reaches it; {@code http3}: where it speaks
+     * that as well, or null.
+     */
+    public record Target(Policy.Server server, InetSocketAddress endpoint, InetSocketAddress http3) {
+        /** One that speaks HTTP/1.1 only. */
+        public Target(Policy.Server server, InetSocketAddress endpoint) {
+            this(server, endpoint, null);
+        }
+    }
 
     public List<Policy.Server> servers() {
         return list.stream().map(Target::server).toList();
--- a/src/main/java/junctionhead/front/http1/Client.java
+++ b/src/main/java/junctionhead/front/http1/Client.java
@@ -204,6 +204,9 @@
         if (value != null) {
             response.headers().set(header, value);
         }
+        if (server.elsewhere() != null) {
+            response.headers().set("Alt-Svc", server.elsewhere());
+        }
         if (!stay) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
--- a/src/main/java/junctionhead/front/http1/ClientServer.java
+++ b/src/main/java/junctionhead/front/http1/ClientServer.java
@@ -31,6 +31,7 @@
 import junctionhead.core.Order;
 import junctionhead.core.OrderRules;
 import junctionhead.core.Reply;
+import junctionhead.core.Room;
 import junctionhead.http1.Http1Fields;
 
 /** The side to the clients: takes connections, hands requests over, and words each one's final answer. */
@@ -40,14 +41,13 @@
     private static final long LOOK_MS = 200;        // between looks at what takes too long
     private static final long AGAIN_MS = 20;        // while new connections wait to be accepted
     private static final int STRANGERS = 8;         // taken in every so often during a rehearsal
-    private static final long ROOM = 6 << 20;       // bytes of bodies of clients held together
 
     private final EventLoop loop;
     private final SettingsReader.Boot boot;
     private final Dispatcher dispatcher;
     private final Budget budget;
     private final Consumer<String> log;
-    private final Room room = new Room(ROOM);
+    private final Room room;
     private final Set<Client> clients = new LinkedHashSet<>();  // the oldest first
     private Channel listener;
     private boolean ready;
@@ -56,9 +56,11 @@
     private int strangers;                          // taken in during a rehearsal since the last look
     private boolean again;                          // room will be looked for again soon
     private Drill rehearsal;                    // while it is on
+    private String elsewhere;                       // another protocol at which clients may ask, if any
 
     public ClientServer(EventLoop loop, SettingsReader.Boot boot, Dispatcher dispatcher, Budget budget,
-            Consumer<String> log) {
+            Room room, Consumer<String> log) {
+        this.room = room;
         this.loop = loop;
         this.boot = boot;
         this.dispatcher = dispatcher;
@@ -111,6 +113,15 @@
         stopping = true;
     }
 
+    /** From here on answers name another protocol's address as well (Alt-Svc, RFC 7838); null: none. */
+    public void advertise(String service) {
+        elsewhere = service;
+    }
+
+    String elsewhere() {
+        return stopping ? null : elsewhere;
+    }
+
     boolean isStopping() {
         return stopping;
     }
--- a/src/main/java/junctionhead/front/http1/Intake.java
+++ b/src/main/java/junctionhead/front/http1/Intake.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Arrays;
 import junctionhead.core.Order;
+import junctionhead.core.Room;
 
 /**
  * Puts a client's requests together, each whole and copied off the socket's buffers. What is too long, or
--- /dev/null
+++ b/src/main/java/junctionhead/front/http3/Http3Server.java
@@ -0,0 +1,173 @@
+package junctionhead.front.http3;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.handler.codec.http3.Http3;
+import io.netty.handler.codec.quic.QuicChannel;
+import io.netty.handler.codec.quic.QuicSslContext;
+import io.netty.handler.codec.quic.QuicSslContextBuilder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.security.cert.X509Certificate;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import junctionhead.SettingsReader;
+import junctionhead.core.Dispatcher;
+import junctionhead.core.Order;
+import junctionhead.core.Room;
+import junctionhead.http3.ErrorCodes;
+import junctionhead.http3.Identity;
+import junctionhead.http3.Sessions;
+
+/**
+ * The side to clients over HTTP/3 (RFC 9114) on QUIC (RFC 9000): one UDP socket on the event loop. It takes
+ * connections and their streams and words each request's one final answer; it picks, repeats and sheds
+ * nothing. All of it runs on the event loop but {@link #listen}.
+ */
+public final class Http3Server {
+    /** What bounds it; {@code idle} in ms, {@code streams} at once on a connection. */
+    public record Limits(Sessions.Limits sessions, int streams, long idle) { }
+
+    private static final long LOOK_MS = 200;        // between looks at what takes too long
+    // A connection's window: two whole bodies at once. What more of its streams send waits with the client.
+    private static final long WINDOW = 2L * Order.BODY_MOST;
+    private static final int CONTROL_STREAMS = 3;   // and two of QPACK (RFC 9114, section 6.2)
+    private static final int CONTROL_WINDOW = 4 * 1024;
+    private static final int CONNECTION_IDS = 4;    // spare ones, for clients whose path changes
+    private static final int DATAGRAM = 1_350;
+    private static final int CONNECTION_REFUSED = 0x02;     // RFC 9000, section 20.1
+
+    final EventLoop loop;
+    final SettingsReader.Boot boot;
+    final Dispatcher dispatcher;
+    final Room room;
+    final Sessions sessions;
+    private final Limits limits;
+    private final Consumer<String> log;
+    private final Set<Connection> connections = new LinkedHashSet<>();
+    private QuicSslContext context;                 // of new connections
+    private Channel socket;
+    private Future<?> looking;
+    private boolean ready;
+    private boolean stopping;
+    private boolean closing;
+
+    /** {@code log} must not block. */
+    public Http3Server(EventLoop loop, SettingsReader.Boot boot, Dispatcher dispatcher, Room room,
+            Identity identity, Limits limits, Consumer<String> log) {
+        this.loop = loop;
+        this.boot = boot;
+        this.dispatcher = dispatcher;
+        this.room = room;
+        this.limits = limits;
+        this.log = log;
+        sessions = new Sessions(limits.sessions());
+        context = context(identity);
+    }
+
+    // Without early data: a replayed request must not reach an upstream (RFC 9114, section 10.9).
+    private static QuicSslContext context(Identity identity) {
+        return QuicSslContextBuilder.forServer(identity.key(), null,
+            identity.chain().toArray(X509Certificate[]::new))
+            .applicationProtocols(Http3.supportedApplicationProtocols()).earlyData(false).build();
+    }
+
+    /** Listens; called from another thread than the loop's, and returns the address in use. */
+    public InetSocketAddress listen(InetSocketAddress at) throws IOException {
+        ChannelHandler codec = Http3.newQuicServerCodecBuilder()
+            .sslEngineProvider(connection -> context.newEngine(connection.alloc()))
+            .maxIdleTimeout(limits.idle(), TimeUnit.MILLISECONDS)
+            .maxSendUdpPayloadSize(DATAGRAM).maxRecvUdpPayloadSize(DATAGRAM)
+            .initialMaxData(WINDOW).initialMaxStreamDataBidirectionalRemote(Order.BODY_MOST)
+            .initialMaxStreamDataUnidirectional(CONTROL_WINDOW)
+            .initialMaxStreamsUnidirectional(CONTROL_STREAMS)
+            .initialMaxStreamsBidirectional(limits.streams())
+            .activeMigration(true).activeConnectionIdLimit(CONNECTION_IDS)
+            .tokenHandler(new RetryHandler(sessions))
+            .handler(new ChannelInitializer<QuicChannel>() {
+                @Override
+                protected void initChannel(QuicChannel channel) {
+                    opened(channel);
+                }
+            }).build();
+        try {
+            socket = new Bootstrap().group(loop).channel(NioDatagramChannel.class).handler(codec).bind(at)
+                .sync().channel();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted");
+        }
+        looking = loop.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        return (InetSocketAddress) socket.localAddress();
+    }
+
+    public void ready() {
+        ready = !stopping;
+    }
+
+    boolean isReady() {
+        return ready;
+    }
+
+    /** New connections show this certificate; those that stand go on with theirs. */
+    public void renew(Identity identity) {
+        context = context(identity);
+    }
+
+    private void opened(QuicChannel channel) {
+        Connection connection = new Connection(this, channel);
+        if (connection.session() == null) {
+            // Later: its first packet is still being read.
+            loop.execute(() -> channel.close(false, CONNECTION_REFUSED, Unpooled.EMPTY_BUFFER));
+            return;
+        }
+        connections.add(connection);
+        channel.closeFuture().addListener(closed -> {
+            connections.remove(connection);
+            sessions.closed(connection.session());
+        });
+        if (stopping) {
+            connection.late();
+        }
+    }
+
+    private void look() {
+        long now = System.nanoTime();
+        for (Connection connection : List.copyOf(connections)) {
+            connection.look(now);
+        }
+    }
+
+    boolean isClosing() {
+        return closing;
+    }
+
+    /** Clients are told that it goes, and what they still send is served (RFC 9114, section 5.2). */
+    public void stopping() {
+        ready = false;
+        stopping = true;
+        connections.forEach(Connection::announce);
+    }
+
+    /** Takes nothing more: streams from here on are rejected, as never processed; what is taken goes on. */
+    public void close() {
+        closing = true;
+        connections.forEach(Connection::goAway);
+    }
+
+    /** Ends all connections, once all that was taken has been answered. */
+    public void end() {
+        looking.cancel(false);
+        log.accept(sessions.summary());
+        List.copyOf(connections).forEach(c -> c.end(ErrorCodes.NO_ERROR));
+    }
+}
--- /dev/null
+++ b/src/main/java/junctionhead/front/http3/RequestStream.java
@@ -0,0 +1,301 @@
+package junctionhead.front.http3;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http3.DefaultHttp3DataFrame;
+import io.netty.handler.codec.http3.DefaultHttp3Headers;
+import io.netty.handler.codec.http3.DefaultHttp3HeadersFrame;
+import io.netty.handler.codec.http3.Http3DataFrame;
+import io.netty.handler.codec.http3.Http3Exception;
+import io.netty.handler.codec.http3.Http3Headers;
+import io.netty.handler.codec.http3.Http3HeadersFrame;
+import io.netty.handler.codec.http3.Http3RequestStreamInboundHandler;
+import io.netty.handler.codec.quic.QuicException;
+import io.netty.handler.codec.quic.QuicStreamChannel;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import junctionhead.core.Answer;
+import junctionhead.core.Order;
+import junctionhead.core.OrderRules;
+import junctionhead.core.Reply;
+import junctionhead.http3.ErrorCodes;
+import junctionhead.http3.HeadRules;
+import junctionhead.http3.Malformed;
+import junctionhead.http3.MessageState;
+import junctionhead.http3.wire.Codes;
+import junctionhead.http3.wire.Http3Fields;
+import junctionhead.http3.wire.LastFrame;
+
+/** One request of a client on its stream, and its one final answer (RFC 9114, section 4.1). On the loop. */
+final class RequestStream extends Http3RequestStreamInboundHandler implements Reply {
+    private static final long RECEIVE = TimeUnit.MILLISECONDS.toNanos(2_000);   // a whole request
+    private static final long UNREAD = TimeUnit.MILLISECONDS.toNanos(5_000);    // an answer that nobody reads
+    private static final byte[] NOTHING = new byte[0];
+
+    private final Connection connection;
+    private final Http3Server server;
+    private final QuicStreamChannel stream;
+    private final LastFrame last = new LastFrame();
+    private final MessageState state = new MessageState(Order.BODY_MOST);
+    private final long since = System.nanoTime();
+    private HeadRules.Head head;
+    private Http3Headers headers;
+    private byte[] body = NOTHING;
+    private int length;                             // bytes of the body, taken from the room
+    private Runnable gone;                          // set while the core owes an answer here
+    private boolean answered;
+    private final boolean late;                     // behind our GOAWAY
+    private boolean rejected;
+    private boolean cancelled;
+    private long answeredAt;
+    private long unread;                            // bytes of the answer that have not left
+
+    RequestStream(Connection connection, QuicStreamChannel stream, boolean reject) {
+        this.connection = connection;
+        this.server = connection.server();
+        this.stream = stream;
+        this.late = reject;
+        stream.pipeline().addFirst(last);
+    }
+
+    /** Ends what takes too long. */
+    void look(long now) {
+        if (!answered && !rejected && !state.whole() && now - since > RECEIVE) {
+            refuse(408, "too slow");
+        } else if (answered && now - answeredAt > UNREAD) {
+            // Not taken yet, or its client neither ends its request nor resets it.
+            Codes.reset(stream, ErrorCodes.REQUEST_CANCELLED);
+        }
+    }
+
+    /** The stream is closed, whoever did it. */
+    void closed() {
+        drop();
+        sent(unread);
+        Runnable left = gone;
+        gone = null;
+        if (left != null) {
+            left.run();
+        }
+        if (!answered && !rejected) {
+            ended();
+        }
+    }
+
+    private void drop() {
+        server.room.give(length);
+        length = 0;
+        body = NOTHING;
+    }
+
+    // ---------------------------------------------------------------- what comes in
+
+    @Override
+    protected void channelRead(ChannelHandlerContext context, Http3HeadersFrame frame) {
+        if (answered || rejected) {
+            return;
+        }
+        if (late) {
+            // None of it has been looked at: the client may ask elsewhere, whatever it is.
+            rejected = true;
+            Codes.reset(stream, ErrorCodes.REQUEST_REJECTED);
+            return;
+        }
+        try {
+            if (!state.headless()) {
+                HeadRules.trailers(frame.headers());
+                state.trailers();
+                return;
+            }
+            headers = frame.headers();
+            if (HeadRules.tooLong(headers)) {
+                refuse(431, "too many fields");
+                return;
+            }
+            head = HeadRules.request(headers);
+            state.head(head.length());
+            if (state.announcesTooMuch()) {
+                refuse(413, "too large");
+            } else if (head.method().equals("GET") && head.length() > 0) {
+                refuse(400, "a GET with a body");
+            }
+        } catch (Malformed e) {
+            malformed(e);
+        }
+    }
+
+    @Override
+    protected void channelRead(ChannelHandlerContext context, Http3DataFrame frame) {
+        try {
+            if (answered || rejected) {
+                return;
+            }
+            ByteBuf more = frame.content();
+            int bytes = more.readableBytes();
+            if (!state.data(bytes) || !server.room.take(bytes)) {
+                refuse(413, "too large");
+                return;
+            }
+            if (length + bytes > body.length) {
+                body = Arrays.copyOf(body, length == 0 ? bytes
+                    : (int) Math.min(Order.BODY_MOST, 2L * (length + bytes)));
+            }
+            more.readBytes(body, length, bytes);
+            length += bytes;
+        } catch (Malformed e) {
+            malformed(e);
+        } finally {
+            ReferenceCountUtil.release(frame);
+        }
+    }
+
+    @Override
+    protected void channelInputClosed(ChannelHandlerContext context) {
+        if (answered || rejected || state.whole()) {
+            return;
+        }
+        try {
+            state.end();
+        } catch (Malformed e) {
+            malformed(e);
+            return;
+        }
+        take();
+    }
+
+    @Override
+    protected void handleQuicException(ChannelHandlerContext context, QuicException cause) {
+        ended();
+    }
+
+    // What the codec turns down before we read it: heads as well as frames out of their order.
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (cause instanceof QuicException || answered || rejected) {
+            ended();
+        } else {
+            long code = cause instanceof Http3Exception known ? known.errorCode().code()
+                : ErrorCodes.MESSAGE_ERROR;
+            malformed(new Malformed(code, "malformed"));
+        }
+    }
+
+    // Its client has reset it: what was not whole is nothing, and a whole request's answer has no reader.
+    private void ended() {
+        if (!answered && !rejected && !cancelled) {
+            cancelled = true;
+            rejected = true;
+            connection.cancelled();
+            Codes.reset(stream, ErrorCodes.REQUEST_CANCELLED);
+        }
+    }
+
+    private void malformed(Malformed why) {
+        rejected = true;
+        drop();
+        Codes.reset(stream, why.code());
+    }
+
+    // ---------------------------------------------------------------- what it asks for
+
+    private void take() {
+        String path = head.path();
+        if (path != null && path.startsWith("/-/")) {
+            boolean asked = path.equals("/-/ready") && head.method().equals("GET");
+            refuse(!asked ? 404 : server.isReady() ? 200 : 503, !asked ? "not found"
+                : server.isReady() ? "ready" : "not ready");
+            return;
+        }
+        Order order;
+        Http3Fields fields = new Http3Fields(headers);
+        try {
+            if (path == null) {
+                throw new IllegalArgumentException("not a path");
+            }
+            if (head.method().equals("GET") && length > 0) {
+                throw new IllegalArgumentException("a GET with a body");
+            }
+            byte[] all = body.length == length ? body : Arrays.copyOf(body, length);
+            order = OrderRules.order(head.method(), path, fields, all, server.boot);
+            fields.endToEnd();
+        } catch (IllegalArgumentException e) {
+            refuse(400, e.getMessage());
+            return;
+        }
+        if (server.dispatcher.holds(order.id())) {
+            // Whatever protocol the other one came by: an upstream could not tell the two apart.
+            refuse(409, "a request with this Req-Id is open");
+            return;
+        }
+        Runnable leave = server.dispatcher.take(order, this);
+        if (!answered) {
+            gone = leave;
+        }
+    }
+
+    // ---------------------------------------------------------------- what goes out
+
+    @Override
+    public void serve(Answer answer) {
+        write(200, answer.body(), answer.type(), 0);
+    }
+
+    @Override
+    public void refuse(long retryAfter) {
+        write(503, "refused: trying again is harmless\n".getBytes(StandardCharsets.UTF_8), "text/plain",
+            retryAfter);
+    }
+
+    @Override
+    public void fail() {
+        refuse(502, "failed");
+    }
+
+    private void refuse(int status, String text) {
+        write(status, (text + "\n").getBytes(StandardCharsets.UTF_8), "text/plain", 0);
+    }
+
+    private void write(int status, byte[] content, String type, long retryAfter) {
+        answered = true;
+        gone = null;
+        answeredAt = System.nanoTime();
+        boolean unfinished = !state.whole();
+        drop();
+        Http3Headers out = new DefaultHttp3Headers();
+        out.status(Integer.toString(status));
+        if (type != null) {
+            out.set("content-type", type);
+        }
+        out.set("content-length", Integer.toString(content.length));
+        if (retryAfter > 0) {
+            out.set("retry-after", String.format(Locale.ROOT, "%.3f", retryAfter / 1e6));
+        }
+        unread = content.length + HeadRules.SECTION_MOST;
+        server.sessions.unread(connection.session(), unread);
+        long charged = unread;
+        last.last();
+        ChannelFuture written = stream.write(new DefaultHttp3HeadersFrame(out));
+        if (content.length > 0) {
+            written = stream.write(new DefaultHttp3DataFrame(Unpooled.wrappedBuffer(content)));
+        }
+        written.addListener(done -> sent(charged));
+        stream.flush();
+        if (unfinished) {
+            // The rest of the request is not wanted; the answer stands (RFC 9114, section 4.1).
+            stream.shutdownInput((int) ErrorCodes.NO_ERROR);
+        }
+        connection.answered();
+    }
+
+    private void sent(long bytes) {
+        if (unread > 0) {
+            unread = 0;
+            server.sessions.unread(connection.session(), -bytes);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/junctionhead/http3/Endings.java
@@ -0,0 +1,48 @@
+package junctionhead.http3;
+
+import junctionhead.Policy.Outcome;
+
+/**
+ * What the end of an attempt over HTTP/3 proves: the table of docs/http3.md, in code. Decides without I/O.
+ * Only what a specification guarantees counts as never having run; that a packet was lost, or that nothing
+ * has been acknowledged, guarantees nothing.
+ */
+public final class Endings {
+    /** How an attempt that has brought no whole answer ended. */
+    public enum How {
+        /** No connection came about: no handshake, or not in time. Requests are never sent as early data. */
+        NOT_CONNECTED,
+        /** No stream could be opened on a connection: the peer's limit, or the connection is going. */
+        NO_STREAM,
+        /** A GOAWAY with an id that is not above this stream's (RFC 9114, section 5.2). */
+        BEYOND_GOAWAY,
+        /** The peer reset the stream, or asked us to stop sending, with a code. */
+        STREAM_RESET,
+        /** The connection has ended: closed by the peer, an error, or its idle time-out. */
+        CONNECTION_LOST,
+        /** What came is no answer as the protocol wants it. */
+        BAD_ANSWER,
+        /** The answer is longer than is held. */
+        TOO_LONG
+    }
+
+    private Endings() { }
+
+    /**
+     * @param given whether the last byte of the request has been handed to the QUIC stack: from then on it
+     *     may reach the upstream, whatever is heard of it
+     * @param code the peer's, for {@link How#STREAM_RESET}; any other value otherwise
+     */
+    public static Outcome outcome(How how, boolean given, long code) {
+        return switch (how) {
+            case NOT_CONNECTED -> Outcome.CONNECT_FAILED;
+            case NO_STREAM, BEYOND_GOAWAY -> Outcome.NOT_SENT;
+            // Section 4.1.1: the server has not processed any of it. What a server says so has been turned
+            // away by it, as with Srv-Declined.
+            case STREAM_RESET -> code == ErrorCodes.REQUEST_REJECTED ? Outcome.FULL
+                : given ? Outcome.RESET : Outcome.CONNECT_FAILED;
+            case CONNECTION_LOST -> given ? Outcome.RESET : Outcome.CONNECT_FAILED;
+            case BAD_ANSWER, TOO_LONG -> given ? Outcome.RESET : Outcome.CONNECT_FAILED;
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/junctionhead/http3/Malformed.java
@@ -0,0 +1,18 @@
+package junctionhead.http3;
+
+/** A message that breaks the protocol: its stream ends with the code (RFC 9114, section 4.1.2). */
+public final class Malformed extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    private final long code;
+
+    public Malformed(long code, String why) {
+        super(why, null, false, false);
+        this.code = code;
+    }
+
+    /** One of {@link ErrorCodes}. */
+    public long code() {
+        return code;
+    }
+}
--- /dev/null
+++ b/src/main/java/junctionhead/http3/Sessions.java
@@ -0,0 +1,164 @@
+package junctionhead.http3;
+
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+
+/**
+ * The QUIC connections of clients, as far as their number and the memory that they hold go: whether another
+ * one is let in, whether it must prove its address first, who goes for room. Decides without I/O; time in ns.
+ */
+public final class Sessions {
+    /** What is borne. {@code rest}: ns that one may be at rest while others want in. */
+    public record Limits(int connections, int perAddress, int handshakes, long unread, long rest) { }
+
+    /** One connection. */
+    public static final class Session {
+        private final Object address;
+        private final Runnable closer;
+        private boolean established;
+        private int streams;
+        private long unread;
+        private long since;                         // at rest or begun
+
+        private Session(Object address, Runnable closer, long now) {
+            this.address = address;
+            this.closer = closer;
+            this.since = now;
+        }
+
+        public int streams() {
+            return streams;
+        }
+
+        public boolean established() {
+            return established;
+        }
+    }
+
+    private final Limits limits;
+    private final LinkedHashSet<Session> all = new LinkedHashSet<>();
+    private final LinkedHashSet<Session> resting = new LinkedHashSet<>();   // the longest at rest first
+    private final Map<Object, Integer> byAddress = new HashMap<>();
+    private int handshakes;
+    private long unread;
+    private long turnedAway;
+    private long gone;                              // ended for room or for memory
+
+    public Sessions(Limits limits) {
+        this.limits = limits;
+    }
+
+    /**
+     * Whether a newcomer must prove its address before state is kept: many handshakes are under way, or the
+     * room is nearly taken. RFC 9000, section 8.1.
+     */
+    public boolean mustProve() {
+        return handshakes >= limits.handshakes() / 2 || all.size() >= limits.connections() * 3 / 4;
+    }
+
+    /**
+     * Lets another one in, and ends the one longest at rest for it where there is no room; null where it is
+     * turned away. {@code closer} is called at most once, not from within {@link #closed}.
+     */
+    public Session open(Object address, Runnable closer, long now) {
+        boolean crowd = byAddress.getOrDefault(address, 0) >= limits.perAddress();
+        if (handshakes >= limits.handshakes() || crowd || all.size() >= limits.connections() && !room(now)) {
+            turnedAway++;
+            return null;
+        }
+        Session s = new Session(address, closer, now);
+        all.add(s);
+        byAddress.merge(address, 1, Integer::sum);
+        handshakes++;
+        return s;
+    }
+
+    private boolean room(long now) {
+        for (Session s : resting) {
+            if (now - s.since >= limits.rest()) {
+                end(s);
+                return true;
+            }
+            break;                                  // those behind it rest for less long
+        }
+        return false;
+    }
+
+    private void end(Session s) {
+        gone++;
+        closed(s);
+        s.closer.run();
+    }
+
+    /** Its handshake is done. */
+    public void established(Session s, long now) {
+        if (all.contains(s) && !s.established) {
+            s.established = true;
+            handshakes--;
+            rest(s, now);
+        }
+    }
+
+    private void rest(Session s, long now) {
+        s.since = now;
+        if (s.streams == 0 && s.established) {
+            resting.remove(s);
+            resting.add(s);
+        }
+    }
+
+    public void streamOpened(Session s) {
+        s.streams++;
+        resting.remove(s);
+    }
+
+    public void streamClosed(Session s, long now) {
+        s.streams--;
+        if (s.streams == 0 && all.contains(s)) {
+            rest(s, now);
+        }
+    }
+
+    /** It has that many bytes more of answers that its client hasn't taken; 0 or less: they have left. */
+    public void unread(Session s, long bytes) {
+        if (!all.contains(s)) {
+            return;
+        }
+        s.unread += bytes;
+        unread += bytes;
+        while (unread > limits.unread()) {
+            Session most = s;
+            for (Session other : all) {
+                most = other.unread > most.unread ? other : most;
+            }
+            if (most.unread <= 0) {
+                return;
+            }
+            end(most);
+        }
+    }
+
+    /** It is closed; harmless when told twice. */
+    public void closed(Session s) {
+        if (all.remove(s)) {
+            resting.remove(s);
+            handshakes -= s.established ? 0 : 1;
+            unread -= s.unread;
+            byAddress.computeIfPresent(s.address, (a, n) -> n > 1 ? n - 1 : null);
+        }
+    }
+
+    public int open() {
+        return all.size();
+    }
+
+    public int handshakes() {
+        return handshakes;
+    }
+
+    public String summary() {
+        return "http3: " + all.size() + " connections, " + turnedAway + " turned away, " + gone
+            + " ended for room";
+    }
+}
--- /dev/null
+++ b/src/main/java/junctionhead/http3/wire/Codes.java
@@ -0,0 +1,45 @@
+package junctionhead.http3.wire;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http3.Http3Settings;
+import io.netty.handler.codec.http3.Http3SettingsFrame;
+import io.netty.handler.codec.http3.DefaultHttp3SettingsFrame;
+import io.netty.handler.codec.quic.QuicChannel;
+import io.netty.handler.codec.quic.QuicStreamChannel;
+import io.netty.handler.codec.quic.QuicStreamResetException;
+import junctionhead.http3.HeadRules;
+
+/** What both sides ask of the codec. For the event loop's thread. */
+public final class Codes {
+    private Codes() { }
+
+    /**
+     * Our settings: no dynamic table of fields, so that no stream waits for another and no table grows
+     * (RFC 9204, section 3.2.3), and twice what a field section may hold: a 431 tells more than the codec,
+     * which ends what is longer than its setting.
+     */
+    public static Http3SettingsFrame settings() {
+        return new DefaultHttp3SettingsFrame(new Http3Settings().qpackMaxTableCapacity(0)
+            .qpackBlockedStreams(0).maxFieldSectionSize(2 * HeadRules.SECTION_MOST));
+    }
+
+    /** Ends a connection with a code of HTTP/3 (CONNECTION_CLOSE of type 0x1d). */
+    public static void end(Channel connection, long code) {
+        if (connection instanceof QuicChannel quic && quic.isOpen()) {
+            quic.close(true, (int) code, Unpooled.EMPTY_BUFFER);
+        }
+    }
+
+    /** Ends both directions of a stream with a code: RESET_STREAM and STOP_SENDING. */
+    public static void reset(QuicStreamChannel stream, long code) {
+        if (stream.isOpen()) {
+            stream.shutdown((int) code).addListener(done -> stream.close());
+        }
+    }
+
+    /** The peer's code, where that is what ended a stream; -1 otherwise. */
+    public static long code(Throwable cause) {
+        return cause instanceof QuicStreamResetException reset ? reset.applicationProtocolCode() : -1;
+    }
+}
--- a/src/main/java/junctionhead/membership/TargetsReader.java
+++ b/src/main/java/junctionhead/membership/TargetsReader.java
@@ -46,7 +46,8 @@
             list.add(new Targets.Target(new Policy.Server(uid, state, startedAt,
                 weight > 0 ? weight : 1, (int) number(e.get("pod_group"), -1),
                 boot.kinds().indexOf(SettingsReader.plain(e.get("model"))),
-                boot.zones().indexOf(SettingsReader.plain(e.get("az")))), endpoint));
+                boot.zones().indexOf(SettingsReader.plain(e.get("az")))), endpoint,
+                e.get("http3") instanceof String at ? Addresses.parse(at) : null));
         }
         return new Targets((long) number(map.get("rev"), 0), Boolean.TRUE.equals(map.get("all")),
             List.copyOf(list));
--- a/src/main/java/junctionhead/node/Node.java
+++ b/src/main/java/junctionhead/node/Node.java
@@ -20,6 +20,7 @@
 import junctionhead.core.Addresses;
 import junctionhead.core.Clock;
 import junctionhead.core.Dispatcher;
+import junctionhead.core.Room;
 import junctionhead.core.Targets;
 import junctionhead.front.http1.ClientServer;
 import junctionhead.log.LineSink;
@@ -44,14 +45,22 @@
     private final Budget budget;
     private final ClientServer clients;
     private final Config config;
+    private final Extension.Part extra;             // null where there is none
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final CountDownLatch readied = new CountDownLatch(1);
+    private volatile InetSocketAddress besides;     // where the extension listens
     private boolean hasList;
     private boolean rehearsed;
 
     /** A node that is ready without a rehearsal, where {@code rehearse} is false. */
     Node(Config config, BiFunction<Policy.Settings, Long, Policy> module, boolean rehearse,
             Consumer<String> log) {
+        this(config, module, rehearse, null, log);
+    }
+
+    /** The same with what stands beside HTTP/1.1; {@code extension} may be null. */
+    Node(Config config, BiFunction<Policy.Settings, Long, Policy> module, boolean rehearse,
+            Extension extension, Consumer<String> log) {
         this.rehearsed = !rehearse;
         this.config = config;
         this.log = log;
@@ -63,8 +72,11 @@
         discovery = asked ? new Discovery(loop, config.discovery(), config.boot(), config.known().rev(),
             this::listed, log) : null;
         fixed = asked ? null : new StaticList(config.known(), this::listed);
-        clients = new ClientServer(loop, config.boot(), dispatcher, budget, log);
-        dispatcher.attach(upstreams, asked ? discovery : fixed);
+        Room room = new Room(Room.CLIENTS);
+        clients = new ClientServer(loop, config.boot(), dispatcher, budget, room, log);
+        extra = extension == null ? null
+            : extension.of(new Extension.Lent(loop, config, dispatcher, room, log));
+        dispatcher.attach(extra == null ? upstreams : extra.carrier(upstreams), asked ? discovery : fixed);
     }
 
     /** Runs a balancer until it is told to stop; returns only if it can't start. */
@@ -74,11 +86,16 @@
 
     /** The same, told by {@code first} at its start and by {@code again} after each SIGHUP. */
     public static int serve(Supplier<Config> first, Supplier<Config> again) {
+        return serve(first, again, null);
+    }
+
+    /** The same with what stands beside HTTP/1.1; {@code extension} may be null. */
+    public static int serve(Supplier<Config> first, Supplier<Config> again, Extension extension) {
         LineSink log = new LineSink(System.err, "junctionhead: ");
         Node node;
         InetSocketAddress at;
         try {
-            node = new Node(first.get(), Balance::new, true, log);
+            node = new Node(first.get(), Balance::new, true, extension, log);
         } catch (Config.Bad e) {
             log.accept(e.getMessage());
             log.close(LAST_LINES_MS);
@@ -109,7 +126,15 @@
     /** Listens and begins to work; returns the address in use. */
     InetSocketAddress start() throws IOException {
         InetSocketAddress at = clients.listen(config.listen());
+        InetSocketAddress beside = extra == null ? null : extra.listen();
+        if (beside != null) {
+            log.accept("http3 on " + Addresses.text(beside));
+            besides = beside;
+        }
         loop.execute(() -> {
+            if (beside != null) {
+                clients.advertise(extra.advertisement(beside));
+            }
             listed(Policy.ListKind.PERSISTED, config.known());
             if (discovery != null) {
                 discovery.start();
@@ -118,10 +143,17 @@
             }
             if (!rehearsed) {
                 Rehearsal rehearsal = new Rehearsal(loop, config, () -> {
-                    rehearsed = true;
                     clients.rehearse(null);
                     budget.unlearn(System.nanoTime());
-                    readyIfSo();
+                    if (extra == null) {
+                        rehearsed = true;
+                        readyIfSo();
+                    } else {
+                        extra.rehearse(beside, () -> {
+                            rehearsed = true;
+                            readyIfSo();
+                        });
+                    }
                 });
                 clients.rehearse(rehearsal);
                 rehearsal.start(at);
@@ -138,6 +170,11 @@
         return loop;
     }
 
+    /** Where the extension listens; null where it doesn't. */
+    InetSocketAddress beside() {
+        return besides;
+    }
+
     /**
      * Takes over a configuration that has been replaced: moves to its discovery. All else in it waits for a
      * restart. One that can't be used changes nothing. Not for the loop's thread: it reads a file.
@@ -156,14 +193,22 @@
         if (discovery != null && to != null) {
             log.accept("configuration taken over: discovery at " + Addresses.text(to) + waits);
             loop.execute(() -> discovery.moveTo(to));
+            reloadExtra(fresh);
         } else if (fixed != null && to == null) {
             log.accept("configuration taken over: " + fresh.known().list().size() + " upstreams" + waits);
             loop.execute(() -> fixed.replace(fresh.known()));
+            reloadExtra(fresh);
         } else {
             log.accept("configuration not taken over: new " + String.join(", ", waiting) + " need a restart");
         }
     }
 
+    private void reloadExtra(Config fresh) {
+        if (extra != null) {
+            loop.execute(() -> extra.reload(fresh));
+        }
+    }
+
     // Ready once an upstream may be sent to: what was known from before will do until discovery answers.
     private void listed(Policy.ListKind kind, Targets targets) {
         dispatcher.listed(kind, targets);
@@ -178,6 +223,9 @@
     private void readyIfSo() {
         if (hasList && rehearsed) {
             clients.ready();
+            if (extra != null) {
+                extra.ready();
+            }
             readied.countDown();
         }
     }
@@ -186,10 +234,23 @@
     void stop() {
         loop.execute(() -> {
             clients.stopping();
+            if (extra != null) {
+                extra.stopping();
+            }
         });
         loop.schedule(() -> {
             clients.close();
-            dispatcher.whenIdle(() -> loop.schedule(stopped::countDown, FLUSH_MS, TimeUnit.MILLISECONDS));
+            if (extra != null) {
+                extra.close();
+            }
+            dispatcher.whenIdle(() -> {
+                if (extra == null) {
+                    loop.schedule(stopped::countDown, FLUSH_MS, TimeUnit.MILLISECONDS);
+                    return;
+                }
+                loop.schedule(extra::end, FLUSH_MS, TimeUnit.MILLISECONDS);
+                loop.schedule(stopped::countDown, 2 * FLUSH_MS, TimeUnit.MILLISECONDS);
+            });
         }, LINGER_MS, TimeUnit.MILLISECONDS);
         await();
         log.accept("stopped: " + dispatcher.summary() + "; " + budget.summary());
--- /dev/null
+++ b/src/main/java/junctionhead/node/http3/Http3Extension.java
@@ -0,0 +1,104 @@
+package junctionhead.node.http3;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import junctionhead.config.Config;
+import junctionhead.core.Carrier;
+import junctionhead.front.http3.Http3Server;
+import junctionhead.http3.Http3;
+import junctionhead.node.Extension;
+import junctionhead.upstream.http3.Http3Upstreams;
+
+/** HTTP/3 for a node: to clients, to upstreams, or both, as its configuration says. */
+public final class Http3Extension implements Extension {
+    @Override
+    public Part of(Lent lent) {
+        return lent.config().http3() == null ? null : new InNode(lent);
+    }
+
+    private static final class InNode implements Part {
+        private static final int ADVERTISED = 3600; // s that clients keep it in mind
+
+        private final Lent lent;
+        private final Http3 told;
+        private final Http3Server server;           // null where no client speaks it
+        private Http3Upstreams upstreams;           // null where no upstream does
+
+        InNode(Lent lent) {
+            this.lent = lent;
+            told = lent.config().http3();
+            server = told.listen() == null ? null : new Http3Server(lent.loop(), lent.config().boot(),
+                lent.dispatcher(), lent.room(), told.identity(),
+                new Http3Server.Limits(told.sessions(), told.streams(), told.idle()), lent.log());
+        }
+
+        @Override
+        public Carrier carrier(Carrier usual) {
+            if (told.trust().isEmpty()) {
+                return usual;
+            }
+            upstreams = new Http3Upstreams(lent.loop(), lent.config().boot(), lent.dispatcher()::now, usual,
+                new Http3Upstreams.Limits(told.upstream(), told.trust(), told.serverName(), told.idle(),
+                    true), lent.log());
+            return upstreams;
+        }
+
+        @Override
+        public InetSocketAddress listen() throws IOException {
+            return server == null ? null : server.listen(told.listen());
+        }
+
+        @Override
+        public String advertisement(InetSocketAddress at) {
+            return told.advertise() ? "h3=\":" + at.getPort() + "\"; ma=" + ADVERTISED : null;
+        }
+
+        @Override
+        public void rehearse(InetSocketAddress at, Runnable done) {
+            if (server == null) {
+                done.run();
+            } else {
+                new Rehearsal3(lent.loop(), lent.config(), told, at, lent.dispatcher()::now, done).start();
+            }
+        }
+
+        @Override
+        public void ready() {
+            if (server != null) {
+                server.ready();
+            }
+        }
+
+        @Override
+        public void reload(Config fresh) {
+            if (server != null && fresh.http3() != null && fresh.http3().identity() != null) {
+                server.renew(fresh.http3().identity());
+            }
+        }
+
+        @Override
+        public void stopping() {
+            if (server != null) {
+                server.stopping();
+            }
+        }
+
+        @Override
+        public void close() {
+            if (server != null) {
+                server.close();
+            }
+        }
+
+        @Override
+        public void end() {
+            if (server != null) {
+                server.end();
+            }
+            if (upstreams != null) {
+                upstreams.close();
+                upstreams.end();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/junctionhead/node/http3/Rehearsal3.java
@@ -0,0 +1,88 @@
+package junctionhead.node.http3;
+
+import io.netty.channel.EventLoop;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import junctionhead.Policy;
+import junctionhead.config.Config;
+import junctionhead.core.Clock;
+import junctionhead.core.Fields;
+import junctionhead.core.Order;
+import junctionhead.core.Targets;
+import junctionhead.http3.BoxPlan;
+import junctionhead.http3.Http3;
+import junctionhead.upstream.http3.Http3Upstreams;
+
+/**
+ * Requests of the node's own over HTTP/3, from the carrier to the front, before clients come: without them
+ * the first ones wait until the code is loaded and compiled. Bounded in number and in time; what fails in it
+ * only ends it. On the event loop.
+ */
+final class Rehearsal3 {
+    private static final int REQUESTS = 300;
+    private static final int AT_ONCE = 10;
+    private static final long MOST_MS = 3_000;      // then clients are served as they come
+    private static final long WAIT = 1_000_000;     // µs for one answer
+    private static final String SELF = "self";
+
+    private final EventLoop loop;
+    private final Http3Upstreams carrier;
+    private final Runnable done;
+    private final Future<?> limit;
+    private int begun;
+    private int out;
+    private boolean over;
+
+    Rehearsal3(EventLoop loop, Config config, Http3 told, InetSocketAddress at, Clock clock, Runnable done) {
+        this.loop = loop;
+        this.done = done;
+        carrier = new Http3Upstreams(loop, config.boot(), clock, null, new Http3Upstreams.Limits(
+            new BoxPlan.Limits(2, AT_ONCE, WAIT, WAIT), told.identity().chain(), null, told.idle(), false),
+            line -> { });
+        limit = loop.schedule(this::end, MOST_MS, TimeUnit.MILLISECONDS);
+        InetSocketAddress own = at.getAddress().isAnyLocalAddress()
+            ? new InetSocketAddress(InetAddress.getLoopbackAddress(), at.getPort()) : at;
+        carrier.listed(new Targets(0, true, List.of(new Targets.Target(new Policy.Server(SELF,
+            Policy.State.UP, 0, 1, -1, -1, -1), own, own))), clock.now());
+    }
+
+    void start() {
+        for (int i = 0; i < AT_ONCE; i++) {
+            ask();
+        }
+    }
+
+    private void ask() {
+        if (over || begun == REQUESTS) {
+            if (out == 0) {
+                end();
+            }
+            return;
+        }
+        begun++;
+        out++;
+        Order order = new Order("rehearsal", "GET", "/-/ready", Fields.NONE, new byte[0], -1, 0, null, WAIT,
+            -1, false);
+        carrier.send(SELF, order, WAIT, (outcome, answer, load) -> {
+            out--;
+            if (answer == null) {
+                end();                              // no way to itself: clients come cold
+            } else {
+                loop.execute(this::ask);
+            }
+        });
+    }
+
+    private void end() {
+        if (!over) {
+            over = true;
+            limit.cancel(false);
+            carrier.close();
+            carrier.end();
+            done.run();
+        }
+    }
+}
--- a/src/main/java/junctionhead/upstream/Upstreams.java
+++ b/src/main/java/junctionhead/upstream/Upstreams.java
@@ -370,7 +370,7 @@
             if (report == null && answered.waitMillis == 0) {
                 report = new String(answer.body(), StandardCharsets.UTF_8);     // of a probe
             }
-            answered.end(classify(answer), answer, LoadReport.parse(report));
+            answered.end(answer.outcome(), answer, LoadReport.parse(report));
         }
 
         @Override
@@ -385,14 +385,4 @@
             finish(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null, null);
         }
     }
-
-    // Turned away unseen only where the upstream says so itself; any other failure may have run.
-    private static Outcome classify(Answer answer) {
-        int status = answer.status();
-        if (status == 200) {
-            return Outcome.OK;
-        }
-        boolean declined = "1".equals(answer.fields().get("Srv-Declined"));
-        return declined && (status == 503 || status == 504) ? Outcome.FULL : Outcome.ERROR;
-    }
 }
--- /dev/null
+++ b/src/main/java/junctionhead/upstream/http3/Http3Upstreams.java
@@ -0,0 +1,230 @@
+package junctionhead.upstream.http3;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketProtocolFamily;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.handler.codec.http3.Http3;
+import io.netty.handler.codec.quic.QuicSslContext;
+import io.netty.handler.codec.quic.QuicSslContextBuilder;
+import io.netty.handler.codec.quic.QuicSslEngine;
+import io.netty.util.AttributeKey;
+import java.net.Inet6Address;
+import java.net.InetSocketAddress;
+import java.security.cert.X509Certificate;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import junctionhead.Policy.Outcome;
+import junctionhead.Policy.State;
+import junctionhead.SettingsReader;
+import junctionhead.core.Carrier;
+import junctionhead.core.Clock;
+import junctionhead.core.Fields;
+import junctionhead.core.Order;
+import junctionhead.core.Targets;
+import junctionhead.http3.BoxPlan;
+import junctionhead.http3.Endings;
+
+/**
+ * Attempts over HTTP/3 to those upstreams that speak it, over another carrier to all others and where HTTP/3
+ * fails for a while: a request that may have run on one is never carried by the other as the same attempt.
+ * One UDP socket for all upstreams. On the event loop.
+ */
+public final class Http3Upstreams implements Carrier {
+    /**
+     * {@code trust}: who signs their certificates; {@code serverName}: null where these name addresses;
+     * {@code named}: whether they are held to it; {@code idle} in ms.
+     */
+    public record Limits(BoxPlan.Limits plan, List<X509Certificate> trust, String serverName, long idle,
+            boolean named) { }
+
+    private static final long DRAIN_MARGIN = 50_000; // µs before the grace is over: the clock is not shared
+    private static final long FORGET = 60_000_000;  // µs after its grace that a stopped upstream is kept
+    private static final long LOOK_MS = 250;        // between looks for connections at rest
+    private static final long CONNECT = 1_000_000;  // µs, where the settings give no limit
+    private static final long WINDOW = 16L * Order.BODY_MOST;
+    private static final int CONTROL_STREAMS = 3;
+    private static final int CONTROL_WINDOW = 4 * 1024;
+    private static final int DATAGRAM = 1_350;
+    static final AttributeKey<InetSocketAddress> PEER = AttributeKey.valueOf("junctionhead.http3.peer");
+
+    final EventLoop loop;
+    final Clock clock;
+    final Limits limits;
+    private final Carrier other;
+    private final SettingsReader.Boot boot;
+    private final Consumer<String> log;
+    private final Map<String, Box> boxes = new HashMap<>();
+    private final QuicSslContext context;
+    private final Future<?> sweep;
+    private ChannelFuture socket4;
+    private ChannelFuture socket6;
+
+    /** {@code other} carries what HTTP/3 doesn't, null: nothing does; {@code log} must not block. */
+    public Http3Upstreams(EventLoop loop, SettingsReader.Boot boot, Clock clock, Carrier other, Limits limits,
+            Consumer<String> log) {
+        this.loop = loop;
+        this.boot = boot;
+        this.clock = clock;
+        this.other = other;
+        this.limits = limits;
+        this.log = log;
+        context = QuicSslContextBuilder.forClient()
+            .trustManager(limits.trust().toArray(X509Certificate[]::new))
+            .endpointIdentificationAlgorithm(limits.named() ? "HTTPS" : "")
+            .applicationProtocols(Http3.supportedApplicationProtocols()).earlyData(false).build();
+        sweep = loop.scheduleWithFixedDelay(this::closeOld, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    long connectMicros() {
+        long limit = boot.settings().limits().connectTimeout();
+        return limit > 0 ? limit : CONNECT;
+    }
+
+    void log(String line) {
+        log.accept(line);
+    }
+
+    // One socket for all upstreams of a family of addresses, opened with the first use.
+    ChannelFuture socket(InetSocketAddress to) {
+        boolean six = to.getAddress() instanceof Inet6Address;
+        ChannelFuture bound = six ? socket6 : socket4;
+        if (bound != null && bound.channel().isOpen()) {
+            return bound;
+        }
+        ChannelHandler codec = Http3.newQuicClientCodecBuilder()
+            .sslEngineProvider(connection -> engine(connection.attr(PEER).get(), connection.alloc()))
+            .maxIdleTimeout(limits.idle(), TimeUnit.MILLISECONDS)
+            .maxSendUdpPayloadSize(DATAGRAM).maxRecvUdpPayloadSize(DATAGRAM)
+            .initialMaxData(WINDOW).initialMaxStreamDataBidirectionalLocal(Order.BODY_MOST)
+            .initialMaxStreamDataUnidirectional(CONTROL_WINDOW)
+            .initialMaxStreamsUnidirectional(CONTROL_STREAMS).initialMaxStreamsBidirectional(0).build();
+        bound = new Bootstrap().group(loop).channelFactory(() -> new NioDatagramChannel(
+            six ? SocketProtocolFamily.INET6 : SocketProtocolFamily.INET)).handler(codec)
+            .bind(new InetSocketAddress(six ? "::" : "0.0.0.0", 0));
+        if (six) {
+            socket6 = bound;
+        } else {
+            socket4 = bound;
+        }
+        return bound;
+    }
+
+    private QuicSslEngine engine(InetSocketAddress peer, io.netty.buffer.ByteBufAllocator alloc) {
+        String name = limits.serverName() == null ? peer.getAddress().getHostAddress() : limits.serverName();
+        return context.newEngine(alloc, name, peer.getPort());
+    }
+
+    // ---------------------------------------------------------------- the list
+
+    @Override
+    public void listed(Targets targets, long now) {
+        if (other != null) {
+            other.listed(targets, now);
+        }
+        Set<String> named = new HashSet<>();
+        for (Targets.Target t : targets.list()) {
+            String id = t.server().id();
+            named.add(id);
+            Box box = boxes.get(id);
+            if (box != null && !box.endpoint().equals(t.http3())) {
+                box.retire();
+                boxes.remove(id);
+                box = null;
+            }
+            if (box == null && t.http3() != null) {
+                box = new Box(this, id, t.http3(), new BoxPlan(limits.plan()));
+                boxes.put(id, box);
+            }
+            if (box != null && t.server().state() == State.UP) {
+                box.stopAt(Long.MAX_VALUE);
+            } else if (box != null) {
+                stop(box, now);
+            }
+        }
+        if (targets.all()) {
+            boxes.values().stream().filter(b -> !named.contains(b.id())).forEach(b -> stop(b, now));
+        }
+    }
+
+    private void stop(Box box, long now) {
+        long grace = boot.settings().bounds().drainGrace();
+        box.stopAt(Math.min(box.stopAt(), now + Math.max(0, grace - Math.min(DRAIN_MARGIN, grace / 2))));
+    }
+
+    // ---------------------------------------------------------------- attempts and probes
+
+    @Override
+    public Attempt send(String server, Order order, long wait, Listener listener) {
+        Box box = boxes.get(server);
+        if (box == null) {
+            return other.send(server, order, wait, listener);
+        }
+        BoxPlan.Choice choice = clock.now() >= box.stopAt() ? null : box.choose();
+        if (choice != null && choice.way() == BoxPlan.Way.HTTP1 && other != null) {
+            return other.send(server, order, wait, listener);
+        }
+        Call call = new Call(this, box, order, Math.max(1, wait / 1000), listener);
+        if (choice == null || choice.way() == BoxPlan.Way.HTTP1) {
+            call.end(Outcome.NOT_SENT, null, null);
+        } else {
+            box.carry(choice, call);
+        }
+        return call;
+    }
+
+    /** Gives up after the time that a connection may take. */
+    @Override
+    public void probe(String server, boolean report, Listener listener) {
+        Box box = boxes.get(server);
+        BoxPlan.Choice choice = box == null || clock.now() >= box.stopAt() ? null : box.choose();
+        if (choice == null || choice.way() == BoxPlan.Way.HTTP1) {
+            other.probe(server, report, listener);
+            return;
+        }
+        Order order = new Order("", "GET", report ? "/-/load" : "/-/healthy", Fields.NONE, new byte[0], -1, 0,
+            null, 0, -1, false);
+        Call call = new Call(this, box, order, 0, listener);
+        call.giveUpAfter(connectMicros());
+        box.carry(choice, call);
+    }
+
+    @Override
+    public void closeIdle(String server) {
+        other.closeIdle(server);
+        Box box = boxes.get(server);
+        if (box != null) {
+            box.closeIdle(clock.now());
+        }
+    }
+
+    private void closeOld() {
+        long now = clock.now();
+        boxes.values().removeIf(b -> b.stopAt() < now - FORGET && b.isEmpty());
+        // Well before the upstream's own idle time-out: a request on a dying connection may have run.
+        boxes.values().forEach(b -> b.closeIdle(now - limits.idle() * 1000 / 2));
+    }
+
+    static Outcome outcome(Endings.How how, boolean given, long code) {
+        return Endings.outcome(how, given, code);
+    }
+
+    /** Closes all that is idle, and the socket once nothing is left on it. */
+    public void close() {
+        sweep.cancel(false);
+        boxes.values().forEach(Box::retire);
+    }
+
+    /** Ends all connections. */
+    public void end() {
+        boxes.values().forEach(Box::end);
+    }
+}
--- a/src/rig/java/junctionhead/cli/Cli.java
+++ b/src/rig/java/junctionhead/cli/Cli.java
@@ -15,8 +15,10 @@
 import junctionhead.config.toml.ConfigFile;
 import junctionhead.config.toml.Problems;
 import junctionhead.node.Node;
+import junctionhead.node.http3.Http3Extension;
 import junctionhead.rig.Bench;
 import junctionhead.rig.Demo;
+import junctionhead.rig.Http3Run;
 import picocli.AutoComplete;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -79,15 +81,20 @@
         private double rate;
         @Option(names = "--scenario", paramLabel = "FILE", description = "another scenario (docs/rig.md)")
         private File scenario;
+        @Option(names = "--http3", paramLabel = "N", description = "half of the orders over so many HTTP/3 "
+            + "connections, and half of the boxes speak it")
+        private int http3;
+        @Option(names = "--loss", paramLabel = "SHARE", description = "of the datagrams of these clients")
+        private double loss;
         @Option(names = "--plain", description = "plain lines, also on a terminal")
         private boolean plain;
 
         @Override
         public Integer call() throws IOException, InterruptedException {
             boolean terminal = !plain && System.console() != null;
-            Demo demo = Demo.of(scenario == null ? null : scenario.toPath(), seconds, rate, served(),
-                System.out,
-                terminal);
+            Http3Run run = http3 > 0 ? new Http3Run(loss, http3, 1) : null;
+            Demo demo = Demo.of(scenario == null ? null : scenario.toPath(), seconds, rate, served(), run,
+                System.out, terminal);
             Thread hook = new Thread(() -> {
                 try {
                     demo.abort(20);
@@ -160,7 +167,7 @@
                     throw new Config.Bad(told(config, e));
                 }
             };
-            return Node.serve(read, read);
+            return Node.serve(read, read, new Http3Extension());
         }
     }
 
--- a/src/rig/java/junctionhead/rig/Balancer.java
+++ b/src/rig/java/junctionhead/rig/Balancer.java
@@ -7,11 +7,21 @@
 interface Balancer extends AutoCloseable {
     InetSocketAddress address();
 
+    /** Where it takes HTTP/3; null where it doesn't. */
+    default InetSocketAddress http3() {
+        return null;
+    }
+
     boolean isAlive();
 
     /** CPU that it has used so far, in µs; 0 where that can't be told. */
     long cpuMicros();
 
+    /** The most memory that it has held so far, in KiB; 0 where that can't be told. */
+    default long memoryKib() {
+        return 0;
+    }
+
     /** What it has said. */
     List<String> log();
 
--- a/src/rig/java/junctionhead/rig/BalancerProcess.java
+++ b/src/rig/java/junctionhead/rig/BalancerProcess.java
@@ -34,6 +34,7 @@
     private final Thread reader;
     private final CountDownLatch listening = new CountDownLatch(1);
     private volatile InetSocketAddress address;
+    private volatile InetSocketAddress http3;
 
     /**
      * Starts it and waits until it is ready.
@@ -74,6 +75,35 @@
         }
     }
 
+    /**
+     * The same, told by the one configuration file, and with HTTP/3 on both sides.
+     *
+     * @param classPath what holds the tools as well
+     * @param identity a certificate and its key in PEM, for the balancer and its boxes
+     */
+    static BalancerProcess http3(String classPath, Scenario scenario, InetSocketAddress discovery,
+            String[] identity, long seconds) throws IOException, InterruptedException {
+        Path folder = Files.createTempDirectory("honeyspindle-rig");
+        Files.writeString(folder.resolve("cert.pem"), identity[0]);
+        Files.writeString(folder.resolve("key.pem"), identity[1]);
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, Http3Toml.of(scenario, discovery));
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(FLAGS);
+        command.addAll(List.of("-cp", classPath, "junctionhead.cli.Cli", "serve", "--config",
+            config.toString()));
+        BalancerProcess started = new BalancerProcess(
+            new ProcessBuilder(command).redirectErrorStream(true).start(), folder);
+        try {
+            started.awaitReady(seconds);
+            return started;
+        } catch (IOException | InterruptedException | RuntimeException e) {
+            started.close();
+            throw e;
+        }
+    }
+
     /** A bare pass-through to these addresses, under the same options. */
     static BalancerProcess bare(String classPath, List<InetSocketAddress> boxes, long seconds)
             throws IOException, InterruptedException {
@@ -109,6 +139,10 @@
                 synchronized (lines) {
                     lines.add(line);
                 }
+                int beside = line.indexOf("http3 on ");
+                if (beside >= 0) {
+                    http3 = Addresses.parse(line.substring(beside + "http3 on ".length()).strip());
+                }
                 int at = line.indexOf("listening on ");
                 if (at >= 0) {
                     address = Addresses.parse(line.substring(at + "listening on ".length()).strip());
@@ -151,6 +185,25 @@
         return address;
     }
 
+    @Override
+    public InetSocketAddress http3() {
+        return http3;
+    }
+
+    @Override
+    public long memoryKib() {
+        try {
+            for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
+                if (line.startsWith("VmHWM:")) {
+                    return Long.parseLong(line.replaceAll("[^0-9]", ""));
+                }
+            }
+        } catch (IOException e) {
+            return 0;                               // another kind of system, or it has ended
+        }
+        return 0;
+    }
+
     @Override
     public boolean isAlive() {
         return process.isAlive();
@@ -193,7 +246,9 @@
 
     private static void delete(Path folder) {
         try {
-            Files.deleteIfExists(folder.resolve("config.json"));
+            for (String file : List.of("config.json", "cert.pem", "key.pem")) {
+                Files.deleteIfExists(folder.resolve(file));
+            }
             Files.deleteIfExists(folder);
         } catch (IOException e) {
             folder.toFile().deleteOnExit();
--- a/src/rig/java/junctionhead/rig/Demo.java
+++ b/src/rig/java/junctionhead/rig/Demo.java
@@ -26,6 +26,7 @@
     private static final long SLACK = 50_000;       // of each of the rules' time limits on sockets
     private static final long LEAD = 200_000;       // µs from readiness to the first order
     private static final long READY_S = 60;
+    private static final int LINES = 60;            // of the balancer's log that are shown at most
 
     /** How a run ended. */
     public enum End {
@@ -61,10 +62,17 @@
     private final CountDownLatch over = new CountDownLatch(1);
     private final CountDownLatch told = new CountDownLatch(1);
     private final AtomicBoolean aborted = new AtomicBoolean();
+    private final Http3Run http3;                   // null where all speak HTTP/1.1
     private volatile Balancer balancer;
     private Fleet fleet;
 
     Demo(Scenario scenario, Balancers balancers, PrintStream out, boolean terminal) {
+        this(scenario, balancers, null, out, terminal);
+    }
+
+    /** Half of the clients and boxes speak HTTP/3 where {@code http3} isn't null. */
+    Demo(Scenario scenario, Balancers balancers, Http3Run http3, PrintStream out, boolean terminal) {
+        this.http3 = http3;
         this.scenario = scenario;
         this.balancers = balancers;
         this.out = out;
@@ -77,6 +85,9 @@
         List<Script.Order> script = Script.of(scenario);
         fleet = new Fleet(scenario, script, boxLoops.next(), clock, ledger, GRACE + SLACK);
         try {
+            if (http3 != null) {
+                fleet.speakHttp3(http3.identity());
+            }
             fleet.open();
             out.printf(Locale.ROOT,
                 "%s: %d boxes, %.0f requests a second for %.0f s, seed %d; the fleet can do "
@@ -85,6 +96,9 @@
             balancer = balancers.start(scenario, fleet.list(), fleet.discoveryAt());
             Load load = new Load(scenario, script, loadLoops.next(), clock, ledger, tallies,
                 List.of(balancer.address()));
+            if (http3 != null) {
+                load.through(http3.open(loadLoops.next(), balancer.http3()));
+            }
             long begin = clock.now() + LEAD;
             long cpu = balancer.cpuMicros();
             fleet.script(begin);
@@ -96,10 +110,15 @@
             }
             long used = balancer.cpuMicros() - cpu;
             load.close();
+            long memory = balancer.memoryKib();
             boolean alive = balancer.isAlive();
             int exit = balancer.stop();
             List<Fleet.Standing> boxes = standings();
             tell(used, boxes);
+            if (http3 != null) {
+                out.printf(Locale.ROOT, "most memory of the balancer: %.1f MiB; %s%n", memory / 1024.0,
+                    http3.summary());
+            }
             boolean orderly = alive && exit == 0;
             if (!orderly) {
                 out.println("the balancer " + (alive ? "ended with code " + exit : "died") + ": "
@@ -120,7 +139,11 @@
         if (used > 0) {
             out.printf(Locale.ROOT, "CPU of the balancer: %.0f µs a request%n", (double) used / taken);
         }
-        balancer.log().stream().filter(l -> l.contains("stopped: ")).forEach(out::println);
+        // All that it said, where something went wrong; its last words otherwise.
+        boolean clean = Report.isClean(tallies, ledger, boxes);
+        List<String> said = balancer.log();
+        said.subList(Math.max(0, said.size() - LINES), said.size()).stream()
+            .filter(l -> !clean || l.contains("stopped: ")).forEach(out::println);
         out.flush();
     }
 
@@ -200,6 +223,9 @@
         if (fleet != null && !boxLoops.isShuttingDown()) {
             boxLoops.next().submit(fleet::close).awaitUninterruptibly(2_000);
         }
+        if (http3 != null) {
+            http3.close();
+        }
         boxLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         loadLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
@@ -210,12 +236,12 @@
      * @param file null for that one
      * @param seconds 0 for the scenario's own
      * @param rate 0 for the scenario's own
+     * @param http3 null where all speak HTTP/1.1
      * @param classPath where the balancer's classes are
      * @throws IllegalArgumentException with a line for each problem of the scenario
      */
     public static Demo of(java.nio.file.Path file, long seconds, double rate, String classPath,
-        PrintStream out,
-            boolean terminal) throws IOException {
+            Http3Run http3, PrintStream out, boolean terminal) throws IOException {
         try {
             Scenario scenario;
             if (file == null) {
@@ -226,8 +252,14 @@
             } else {
                 scenario = ScenarioReader.read(file);
             }
-            return new Demo(scenario.with(seconds, rate), (s, known, discovery) ->
-                BalancerProcess.start(classPath, s, known, discovery, READY_S), out, terminal);
+            Scenario played = scenario.with(seconds, rate);
+            if (http3 == null) {
+                return new Demo(played, (s, known, discovery) ->
+                    BalancerProcess.start(classPath, s, known, discovery, READY_S), out, terminal);
+            }
+            return new Demo(played, (s, known, discovery) -> BalancerProcess.http3(
+                System.getProperty("java.class.path"), s, discovery, http3.pem(), READY_S), http3, out,
+                terminal);
         } catch (Problems.Bad e) {
             throw new IllegalArgumentException(e.getMessage(), e);
         }
--- a/src/rig/java/junctionhead/rig/Fleet.java
+++ b/src/rig/java/junctionhead/rig/Fleet.java
@@ -9,6 +9,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import junctionhead.core.Clock;
+import junctionhead.http3.Identity;
 
 /** All stand-in boxes of a scenario with their discovery, and the script of faults that befalls them. */
 final class Fleet {
@@ -46,6 +47,13 @@
         discovery = new StandInDiscovery(loop, clock, grace, boxes);
     }
 
+    /** Every second box speaks HTTP/3 as well, with this certificate; before they are opened. */
+    void speakHttp3(Identity identity) {
+        for (int i = 0; i < boxes.size(); i += 2) {
+            boxes.get(i).speakHttp3(identity);
+        }
+    }
+
     /** Listens everywhere; not for the loop's own thread. */
     void open() throws InterruptedException {
         for (StandInBox box : boxes) {
--- /dev/null
+++ b/src/rig/java/junctionhead/rig/Http3Toml.java
@@ -0,0 +1,61 @@
+package junctionhead.rig;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Collectors;
+import junctionhead.core.Addresses;
+
+/** The configuration file of a balancer that stands for a scenario, with HTTP/3 on both sides. No I/O. */
+final class Http3Toml {
+    private Http3Toml() { }
+
+    /** Names the files cert.pem and key.pem beside it. */
+    static String of(Scenario s, InetSocketAddress discovery) {
+        StringBuilder out = new StringBuilder();
+        List<String> zones = s.boxes().stream().map(Scenario.Boxes::zone).distinct().sorted().toList();
+        List<String> models = s.boxes().stream().map(Scenario.Boxes::model).distinct().toList();
+        line(out, "[node]");
+        line(out, "name = \"rig\"");
+        line(out, "listen = \"127.0.0.1:0\"");
+        line(out, "seed = " + s.seed());
+        line(out, "zone = \"" + zones.get(0) + "\"");
+        line(out, "[membership]");
+        line(out, "source = \"discovery\"");
+        line(out, "address = \"" + Addresses.text(discovery) + "\"");
+        line(out, "zones = " + list(zones));
+        line(out, "models = " + list(models));
+        for (Scenario.Kind kind : s.kinds()) {
+            line(out, "[[class]]");
+            line(out, "name = \"" + kind.name() + "\"");
+            line(out, "effect = \"" + kind.effect().name().toLowerCase(Locale.ROOT) + "\"");
+            line(out, "window = \"" + kind.window() + "us\"");
+            line(out, "aim = \"" + kind.aim() + "us\"");
+            line(out, "deadline = \"" + kind.deadline() + "us\"");
+            line(out, "worth = " + kind.worth());
+            line(out, "late = " + kind.lateShare());
+        }
+        line(out, "[retries]");
+        line(out, "probes = true");
+        line(out, "[rules]");
+        line(out, "drain-grace = \"" + Demo.GRACE + "us\"");
+        line(out, "cold-from = " + s.cold().from());
+        line(out, "cold-ramp = \"" + s.cold().ramp() + "us\"");
+        line(out, "cold-overload = " + s.cold().overload());
+        line(out, "cold-fall = \"" + s.cold().fall() + "us\"");
+        line(out, "[http3]");
+        line(out, "listen = \"127.0.0.1:0\"");
+        line(out, "certificate = \"cert.pem\"");
+        line(out, "key = \"key.pem\"");
+        line(out, "trust = \"cert.pem\"");
+        return out.toString();
+    }
+
+    private static void line(StringBuilder out, String text) {
+        out.append(text).append('\n');
+    }
+
+    private static String list(List<String> names) {
+        return names.stream().map(n -> "\"" + n + "\"").collect(Collectors.joining(", ", "[", "]"));
+    }
+}
--- a/src/rig/java/junctionhead/rig/Load.java
+++ b/src/rig/java/junctionhead/rig/Load.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http3.Http3Headers;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -58,6 +59,7 @@
     private int open;
     private boolean stopped;
     private Runnable then;
+    private Http3Clients http3;                     // null where all clients speak HTTP/1.1
 
     Load(Scenario scenario, List<Script.Order> script, EventLoop loop, Clock clock, Ledger ledger,
             Tallies tallies, List<InetSocketAddress> to) {
@@ -80,6 +82,11 @@
         });
     }
 
+    /** Every second order is asked over HTTP/3, by these; before the start. */
+    void through(Http3Clients clients) {
+        http3 = clients;
+    }
+
     /** Asks nothing more; what is open goes on to its end. */
     void stop() {
         loop.execute(() -> {
@@ -90,6 +97,9 @@
 
     void close() {
         loop.execute(() -> List.copyOf(connections).forEach(c -> c.channel.close()));
+        if (http3 != null) {
+            http3.close();
+        }
     }
 
     private void step() {
@@ -115,6 +125,10 @@
     }
 
     private void send(Asking asking) {
+        if (http3 != null && asking.order.number() % 2 == 1) {
+            http3.ask(asking);
+            return;
+        }
         int target = asking.order.number() % to.size();
         Connection connection = idle.get(target).pollLast();
         if (connection != null && connection.channel.isActive()) {
@@ -150,7 +164,7 @@
             });
     }
 
-    private final class Asking {
+    private final class Asking implements Http3Clients.Asking {
         final Script.Order order;
         final Scenario.Kind kind;
         boolean again;
@@ -184,6 +198,48 @@
             return message;
         }
 
+        @Override
+        public Http3Headers head() {
+            boolean safe = kind.effect() == Policy.Effect.SAFE;
+            Http3Headers head = Http3Clients.head(safe ? "GET" : "POST", "/api/" + order.key());
+            long left = Math.max(1, (due() + kind.deadline() - clock.now()) / 1000);
+            head.add("req-id", order.id()).add("req-kind", kind.name())
+                .add("req-deadline-ms", Long.toString(left)).add("req-cost", Long.toString(order.work()));
+            if (kind.effect() == Policy.Effect.KEYED) {
+                head.add("idempotency-key", order.key());
+            }
+            return safe ? head : head.add("content-length", Integer.toString(BODY));
+        }
+
+        @Override
+        public byte[] body() {
+            return kind.effect() == Policy.Effect.SAFE ? null : new byte[BODY];
+        }
+
+        /** Notes that it is on its way, and waits for its answer no longer than its client would. */
+        @Override
+        public void asked() {
+            asked(() -> { });
+        }
+
+        void asked(Runnable whenInVain) {
+            ledger.asked(order.id(), kind.effect(), clock.now());
+            tallies.taken(order.kind(), order.work());
+            patience = loop.schedule(() -> {
+                end(Final.NONE);
+                whenInVain.run();
+            }, due() + kind.deadline() + PATIENCE - clock.now(), TimeUnit.MICROSECONDS);
+        }
+
+        @Override
+        public void ended(Final how, String text) {
+            boolean own = how != Final.SERVED || order.id().equals(text);
+            if (!own) {
+                ledger.note(order.id(), "served with another's answer", clock.now());
+            }
+            end(own ? how : Final.FAILED);
+        }
+
         void end(Final how) {
             if (over) {
                 return;
@@ -198,7 +254,7 @@
             }
             tallies.ended(order.kind(), order.work(), how, latency);
             open--;
-            ended();
+            Load.this.ended();
         }
     }
 
@@ -215,12 +271,7 @@
         void ask(Asking what) {
             asking = what;
             if (!what.again) {
-                ledger.asked(what.order.id(), what.kind.effect(), clock.now());
-                tallies.taken(what.order.kind(), what.order.work());
-                what.patience = loop.schedule(() -> {
-                    what.end(Final.NONE);
-                    channel.close();
-                }, what.due() + what.kind.deadline() + PATIENCE - clock.now(), TimeUnit.MICROSECONDS);
+                what.asked(channel::close);
             }
             channel.writeAndFlush(what.message());
         }
@@ -232,13 +283,9 @@
             int status = answer.status().code();
             boolean keep = HttpUtil.isKeepAlive(answer);
             if (ended != null) {
-                boolean own = status != 200
-                    || ended.order.id().equals(answer.content().toString(StandardCharsets.US_ASCII));
-                if (!own) {
-                    ledger.note(ended.order.id(), "served with another's answer", clock.now());
-                }
-                ended.end(status == 200 && own ? Final.SERVED : status == 503 || status == 429 ? Final.REFUSED
-                    : status >= 400 && status < 500 ? Final.NOT_TAKEN : Final.FAILED);
+                ended.ended(status == 200 ? Final.SERVED : status == 503 || status == 429 ? Final.REFUSED
+                    : status >= 400 && status < 500 ? Final.NOT_TAKEN : Final.FAILED,
+                    answer.content().toString(StandardCharsets.US_ASCII));
             }
             if (!keep) {
                 channel.close();
--- a/src/rig/java/junctionhead/rig/StandInBox.java
+++ b/src/rig/java/junctionhead/rig/StandInBox.java
@@ -22,8 +22,10 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.Future;
@@ -31,9 +33,10 @@
 import java.util.function.Function;
 import junctionhead.Policy;
 import junctionhead.core.Clock;
+import junctionhead.http3.Identity;
 
 /** An order box on a socket: HTTP/1.1 round a {@link BoxModel}, and what befalls it. On one event loop. */
-final class StandInBox implements BoxModel.Told {
+final class StandInBox implements BoxModel.Told, Http3Side.Taker {
     /** What the box is told of an order beyond the request itself. */
     record Known(Policy.Effect effect, long work, long window) { }
 
@@ -51,6 +54,8 @@
     private final SplittableRandom chance;
     private final BoxModel model;
     private final Set<Connection> connections = new HashSet<>();
+    private final Map<Http3Side.Line, BoxModel.Job> jobs = new HashMap<>();
+    private Http3Side http3;                        // null where it speaks HTTP/1.1 only
     private Channel listener;
     private InetSocketAddress address;
     private Future<?> timer;
@@ -89,6 +94,16 @@
         return kind;
     }
 
+    /** Speaks HTTP/3 as well, with this certificate; before it is opened. */
+    void speakHttp3(Identity identity) {
+        http3 = new Http3Side(loop, clock, identity, this);
+    }
+
+    /** Where it speaks HTTP/3; null where it doesn't. */
+    InetSocketAddress http3() {
+        return http3 == null ? null : http3.address();
+    }
+
     int cellNumber() {
         return cellNumber;
     }
@@ -99,6 +114,9 @@
 
     /** Listens, at the address that it had before if it had one. Not for the loop's own thread. */
     void open() throws InterruptedException {
+        if (http3 != null) {
+            http3.open().sync();
+        }
         bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync();
     }
 
@@ -176,12 +194,19 @@
         for (Connection connection : List.copyOf(connections)) {
             connection.reset();
         }
+        jobs.clear();
+        if (http3 != null) {
+            http3.kill();
+        }
     }
 
     /** A new process at the same address, cold; {@code then} runs on the loop once it listens. */
     void restart(Runnable then) {
         if (!isUp()) {
             model.start(clock.now());
+            if (http3 != null) {
+                http3.open();
+            }
             bind(address).addListener(done -> then.run());
         }
     }
@@ -224,13 +249,12 @@
     public void done(BoxModel.Job job, long at) {
         served++;
         Asked asked = (Asked) job.context;
-        asked.connection.job = null;
+        jobs.remove(asked.line);
         if (chance.nextDouble() < resets) {
-            asked.connection.reset();
+            asked.line.reset();
         } else {
             boolean bad = chance.nextDouble() < errors;
-            asked.connection.answer(bad ? HttpResponseStatus.INTERNAL_SERVER_ERROR : HttpResponseStatus.OK,
-                bad ? "error" : job.order, false);
+            asked.line.answer(bad ? 500 : 200, bad ? "error" : job.order, false);
         }
     }
 
@@ -257,11 +281,60 @@
         loop.schedule(() -> restart(() -> { }), cold.down(), TimeUnit.MICROSECONDS);
     }
 
-    private record Asked(Connection connection, String key) { }
+    private record Asked(Http3Side.Line line, String key) { }
+
+    /** A whole request, by whatever protocol; {@code begunAt}: when its first bytes came. */
+    @Override
+    public void take(Http3Side.Line line, String id, String uri, String key, long begunAt) {
+        if (uri.startsWith("/-/")) {
+            line.answer(200, "ok", false);
+            return;
+        }
+        Known known = id == null ? null : orders.apply(id);
+        if (known == null) {
+            line.answer(400, "unknown order", false);
+            return;
+        }
+        long now = clock.now();
+        if (begunAt > sendsEnd) {
+            ledger.sentAfterDrain(id, name, begunAt - sendsEnd, now);
+        }
+        if (chance.nextDouble() < fastErrors) {
+            ledger.note(id, "fast error on " + name, now);
+            line.answer(500, "error", false);
+            return;
+        }
+        BoxModel.Job job = new BoxModel.Job(id, known.work(), new Asked(line, key));
+        jobs.put(line, job);
+        if (refusing || !model.arrive(job, now, this)) {
+            declined++;
+            jobs.remove(line);
+            ledger.note(id, "turned away by " + name, now);
+            line.answer(503, "declined", true);
+        }
+        if (model.isPushedOver(now)) {
+            fall();
+        }
+        plan();
+    }
+
+    /** Who asked has left: what has not begun is dropped. */
+    @Override
+    public void gone(Http3Side.Line line) {
+        BoxModel.Job job = jobs.remove(line);
+        if (job != null) {
+            model.forget(job);
+            ledger.note(job.order, "given up at " + name, clock.now());
+        }
+    }
+
+    @Override
+    public int load() {
+        return model.inFlight();
+    }
 
-    private final class Connection extends ChannelInboundHandlerAdapter {
+    private final class Connection extends ChannelInboundHandlerAdapter implements Http3Side.Line {
         private final Channel channel;
-        private BoxModel.Job job;
         private long begunAt;
 
         Connection(Channel channel) {
@@ -293,52 +366,24 @@
         }
 
         private void take(FullHttpRequest request) {
-            String id = request.headers().get("Req-Id");
-            if (request.uri().startsWith("/-/")) {
-                answer(HttpResponseStatus.OK, "ok", false);
-                return;
-            }
-            Known known = id == null ? null : orders.apply(id);
-            if (known == null) {
-                answer(HttpResponseStatus.BAD_REQUEST, "unknown order", false);
-                return;
-            }
-            long now = clock.now();
-            if (begunAt > sendsEnd) {
-                ledger.sentAfterDrain(id, name, begunAt - sendsEnd, now);
-            }
-            if (chance.nextDouble() < fastErrors) {
-                ledger.note(id, "fast error on " + name, now);
-                answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, "error", false);
-                return;
-            }
-            job = new BoxModel.Job(id, known.work(), new Asked(this,
-                String.valueOf(request.headers().get("Idempotency-Key"))));
-            BoxModel.Job mine = job;
-            if (refusing || !model.arrive(mine, now, StandInBox.this)) {
-                declined++;
-                job = null;
-                ledger.note(id, "turned away by " + name, now);
-                answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "declined", true);
-            }
-            if (model.isPushedOver(now)) {
-                fall();
-            }
-            plan();
+            StandInBox.this.take(this, request.headers().get("Req-Id"), request.uri(),
+                String.valueOf(request.headers().get("Idempotency-Key")), begunAt);
         }
 
-        void answer(HttpResponseStatus status, String text, boolean unseen) {
-            var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+        @Override
+        public void answer(int status, String text, boolean unseen) {
+            var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status), Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.length())
-                .set("Srv-Load", "TEXT inflight=" + model.inFlight());
+                .set("Srv-Load", "TEXT inflight=" + load());
             if (unseen) {
                 response.headers().set("Srv-Declined", "1");
             }
             channel.writeAndFlush(response);
         }
 
-        void reset() {
+        @Override
+        public void reset() {
             ((SocketChannelConfig) channel.config()).setSoLinger(0);
             channel.close();
         }
@@ -346,10 +391,7 @@
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             connections.remove(this);
-            if (job != null) {
-                model.forget(job);
-                ledger.note(job.order, "given up at " + name, clock.now());
-            }
+            gone(this);
         }
 
         @Override
--- a/src/rig/java/junctionhead/rig/StandInDiscovery.java
+++ b/src/rig/java/junctionhead/rig/StandInDiscovery.java
@@ -218,7 +218,11 @@
                 .append("\",\"model\":\"").append(e.box.kind().model()).append("\",\"pod_group\":")
                 .append(e.box.cellNumber()).append(",\"state\":\"").append(e.state.name().toLowerCase())
                 .append("\",\"capacity_hint\":").append(e.box.kind().speed() * e.box.kind().cores())
-                .append(",\"boot_ms\":").append(e.bootMillis).append('}');
+                .append(",\"boot_ms\":").append(e.bootMillis);
+            if (e.box.http3() != null) {
+                out.append(",\"http3\":\"").append(Addresses.text(e.box.http3())).append('"');
+            }
+            out.append('}');
             comma = ",";
         }
         return out.append("]}").toString();
--- a/src/test/java/junctionhead/HouseTest.java
+++ b/src/test/java/junctionhead/HouseTest.java
@@ -10,7 +10,15 @@
 import junctionhead.connections.Budget;
 import junctionhead.core.Clock;
 import junctionhead.core.OrderRules;
+import junctionhead.core.Room;
 import junctionhead.core.Tally;
+import junctionhead.http3.BoxPlan;
+import junctionhead.http3.Endings;
+import junctionhead.http3.HeadRules;
+import junctionhead.http3.MessageState;
+import junctionhead.http3.ResetGuard;
+import junctionhead.http3.RetryTokens;
+import junctionhead.http3.Sessions;
 import org.junit.jupiter.api.Test;
 
 /** Who may know whom, and who decides without I/O: see docs/frame.md. */
@@ -33,7 +41,9 @@
     @Test
     void whatDecidesDoesNoInputOrOutputAndReadsNoClock() {
         noClasses().that().resideInAPackage(Budget.class.getPackageName()).or()
-            .belongToAnyOf(OrderRules.class, Tally.class, Balance.class).or().haveNameMatching(
+            .belongToAnyOf(OrderRules.class, Tally.class, Balance.class, Room.class, HeadRules.class,
+                MessageState.class, Endings.class, BoxPlan.class, Sessions.class, ResetGuard.class,
+                RetryTokens.class).or().haveNameMatching(
                 "junctionhead\\.rig\\.(Ledger|BoxModel|Cell|Script|Report|Scenario|Tallies)(\\$.*)?")
             .should().dependOnClassesThat().resideInAnyPackage(IO)
             .orShould().callMethod(System.class, "nanoTime")
--- a/src/test/java/junctionhead/config/toml/ConfigFileTest.java
+++ b/src/test/java/junctionhead/config/toml/ConfigFileTest.java
@@ -4,13 +4,18 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.pkitesting.CertificateBuilder;
+import io.netty.pkitesting.X509Bundle;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import junctionhead.Policy;
 import junctionhead.config.Config;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 class ConfigFileTest {
     private static String defaults() throws IOException {
@@ -41,10 +46,20 @@
 
     /** Each setting that stands there as a comment may be used. */
     @Test
-    void whatIsCommentedOutIsInOrderToo() throws IOException, Problems.Bad {
+    void whatIsCommentedOutIsInOrderToo(@TempDir Path folder) throws Exception {
+        X509Bundle made = new CertificateBuilder().subject("CN=a.test").setIsCertificateAuthority(true)
+            .algorithm(CertificateBuilder.Algorithm.ecp256).buildSelfSigned();
+        Files.writeString(folder.resolve("cert.pem"), made.getCertificatePathPEM());
+        Files.writeString(folder.resolve("ca.pem"), made.getCertificatePathPEM());
+        Files.writeString(folder.resolve("key.pem"), made.getPrivateKeyPEM());
         String text = defaults().replace("source = \"static\" ", "source = \"discovery\" ")
             .replaceAll("(?m)^# (?=[a-z\\[])", "").replaceAll("(?s)\\[\\[membership.server]].*?\\n\\n", "");
-        Config config = ConfigFile.read("f.toml", text);
+        String name = folder.resolve("f.toml").toString();
+        Config config = ConfigFile.read(name, text);
+        String least = text.replaceAll(
+            "(?m)^(?!listen|certificate|key|trust|server-name)[a-z-]+ = .*$(?=[^\\[]*\\z)", "");
+        assertTrue(least.length() < text.length() - 500);
+        assertEquals(ConfigFile.read(name, least).http3(), config.http3(), "the defaults are as told");
         assertEquals(8500, config.discovery().getPort());
         assertEquals(960, config.connections().most());
         assertEquals(List.of("acme"), config.boot().tenants());
--- a/src/test/java/junctionhead/front/http1/RoomTest.java
+++ b/src/test/java/junctionhead/core/RoomTest.java
@@ -1,4 +1,4 @@
-package junctionhead.front.http1;
+package junctionhead.core;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- /dev/null
+++ b/src/test/java/junctionhead/http3/BoxPlanTest.java
@@ -0,0 +1,138 @@
+package junctionhead.http3;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import junctionhead.http3.BoxPlan.Choice;
+import junctionhead.http3.BoxPlan.Link;
+import junctionhead.http3.BoxPlan.Way;
+import org.junit.jupiter.api.Test;
+
+class BoxPlanTest {
+    private static final BoxPlan.Limits LIMITS = new BoxPlan.Limits(2, 10, 1_000, 8_000);
+    private final BoxPlan plan = new BoxPlan(LIMITS);
+
+    private Link up(long allowed) {
+        Choice choice = plan.choose(0);
+        assertTrue(choice.dial());
+        plan.up(choice.link(), allowed, 0);
+        plan.released(choice.link(), 0);
+        return choice.link();
+    }
+
+    @Test
+    void requestsWaitForOneHandshake() {
+        Choice first = plan.choose(0);
+        Choice second = plan.choose(0);
+        assertEquals(Way.WAIT, first.way());
+        assertTrue(first.dial());
+        assertEquals(Way.WAIT, second.way());
+        assertFalse(second.dial());
+        assertSame(first.link(), second.link());
+    }
+
+    @Test
+    void aPeersLimitIsNotExceededAndAnotherConnectionBegun() {
+        Link link = up(2);
+        plan.allowed(link, 2);
+        assertSame(link, plan.choose(0).link());
+        assertSame(link, plan.choose(0).link());
+        Choice third = plan.choose(0);
+        assertTrue(third.dial());
+        assertNotSame(link, third.link());
+        plan.up(third.link(), 1, 0);
+        Choice none = plan.choose(0);
+        assertEquals(Way.NONE, none.way());
+        assertNull(none.link());
+        plan.released(link, 0);
+        assertEquals(Way.NONE, plan.choose(0).way());       // until the peer says so (MAX_STREAMS)
+        plan.allowed(link, 1);
+        assertEquals(Way.STREAM, plan.choose(0).way());
+    }
+
+    @Test
+    void aConnectionThatGoesTakesNothingNewAndKeepsNoPlace() {
+        Link link = up(100);
+        plan.choose(0);
+        assertTrue(plan.goAway(link, 8));
+        assertTrue(link.beyond(8));
+        assertFalse(link.beyond(4));
+        assertTrue(plan.choose(0).dial());
+        assertFalse(link.idleSince(Long.MIN_VALUE));
+        plan.released(link, 0);
+        assertTrue(link.idleSince(Long.MIN_VALUE));
+        assertFalse(plan.goAway(link, 12), "an id may only come down");
+        assertTrue(plan.goAway(link, 0));
+    }
+
+    @Test
+    void http1StandsInLongerWithEachFailureAndNoRequestWaitsForATrial() {
+        Choice first = plan.choose(0);
+        plan.closed(first.link(), 0);
+        assertEquals(Way.HTTP1, plan.choose(999).way());
+        assertFalse(plan.choose(999).dial());
+        Choice trial = plan.choose(1_000);
+        assertEquals(Way.HTTP1, trial.way());
+        assertTrue(trial.dial());
+        assertFalse(plan.choose(1_000).dial(), "one trial at a time");
+        plan.closed(trial.link(), 1_500);
+        assertFalse(plan.choose(3_499).dial());
+        Choice again = plan.choose(3_500);
+        assertTrue(again.dial());
+        plan.up(again.link(), 100, 3_600);
+        assertFalse(plan.failing());
+        assertEquals(Way.STREAM, plan.choose(3_600).way());
+        plan.closed(again.link(), 4_000);
+        assertFalse(plan.failing(), "a connection that worked and ended is no failed handshake");
+        assertEquals(Way.WAIT, plan.choose(4_000).way());
+    }
+
+    /** Against a naive count over random histories: limits kept, links neither lost nor used when closed. */
+    @Test
+    void noHistoryExceedsALimit() {
+        for (int seed = 0; seed < 300; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            BoxPlan any = new BoxPlan(LIMITS);
+            Map<Link, Integer> open = new HashMap<>();
+            Map<Link, Long> left = new HashMap<>();
+            List<Link> dead = new ArrayList<>();
+            for (long now = 0; now < 400; now++) {
+                List<Link> links = new ArrayList<>(any.links());
+                Link some = links.isEmpty() ? null : links.get(random.nextInt(links.size()));
+                int event = random.nextInt(10);
+                if (event < 5) {
+                    Choice c = any.choose(now * 100);
+                    boolean taken = c.way() == Way.STREAM || c.way() == Way.WAIT;
+                    assertFalse(dead.contains(c.link()));
+                    if (taken) {
+                        assertTrue(open.merge(c.link(), 1, Integer::sum) <= LIMITS.streams());
+                    }
+                    if (c.way() == Way.STREAM) {
+                        assertTrue(left.merge(c.link(), -1L, Long::sum) >= 0, "beyond the peer's limit");
+                    }
+                } else if (some != null && event < 7 && open.getOrDefault(some, 0) > 0) {
+                    any.released(some, now);
+                    open.merge(some, -1, Integer::sum);
+                } else if (some != null && event == 7 && !some.up() && !some.beyond(Long.MAX_VALUE)) {
+                    any.up(some, 12, now);
+                    left.putIfAbsent(some, 12L - open.getOrDefault(some, 0));
+                } else if (some != null && event == 8) {
+                    any.goAway(some, random.nextInt(5) * 4L);
+                } else if (some != null && event == 9) {
+                    any.closed(some, now * 100);
+                    dead.add(some);
+                }
+                assertTrue(any.links().stream().noneMatch(dead::contains));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/junctionhead/node/Certificates.java
@@ -0,0 +1,24 @@
+package junctionhead.node;
+
+import io.netty.pkitesting.CertificateBuilder;
+import io.netty.pkitesting.X509Bundle;
+import junctionhead.http3.Identity;
+
+/** Certificates for tests, made anew for each run: for 127.0.0.1 and the name box.test. */
+final class Certificates {
+    private Certificates() { }
+
+    static X509Bundle selfSigned() {
+        try {
+            return new CertificateBuilder().subject("CN=box.test").addSanDnsName("box.test")
+                .addSanIpAddress("127.0.0.1").setIsCertificateAuthority(true)
+                .algorithm(CertificateBuilder.Algorithm.ecp256).buildSelfSigned();
+        } catch (Exception e) {
+            throw new AssertionError("no certificate", e);
+        }
+    }
+
+    static Identity identity(X509Bundle bundle) {
+        return Identity.parse(bundle.getCertificatePathPEM(), bundle.getPrivateKeyPEM());
+    }
+}
--- /dev/null
+++ b/src/test/java/junctionhead/node/Http3Fixture.java
@@ -0,0 +1,72 @@
+package junctionhead.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.pkitesting.X509Bundle;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.security.cert.X509Certificate;
+import java.util.ArrayList;
+import java.util.List;
+import junctionhead.config.Config;
+import junctionhead.http3.BoxPlan;
+import junctionhead.http3.Http3;
+import junctionhead.http3.Sessions;
+import junctionhead.node.http3.Http3Extension;
+import org.junit.jupiter.api.AfterEach;
+
+/** A node that speaks HTTP/3 to clients, and to upstreams whose list names an address for it. */
+abstract class Http3Fixture extends NodeFixture {
+    static final X509Bundle OURS = Certificates.selfSigned();
+    static final X509Bundle THEIRS = Certificates.selfSigned();
+
+    final List<H3Client> open = new ArrayList<>();
+    Sessions.Limits sessions = new Sessions.Limits(50, 50, 20, 1 << 20, 0);
+    int streams = 100;
+    String http3;                                   // the upstream's address
+
+    @Override
+    String target(String state) {
+        String plain = super.target(state);
+        return http3 == null ? plain : plain.replace("\"az\"", "\"http3\":\"" + http3 + "\",\"az\"");
+    }
+
+    static Http3 told(Sessions.Limits sessions, int streams, X509Bundle ours) {
+        return new Http3(new InetSocketAddress("127.0.0.1", 0), Certificates.identity(ours), sessions,
+            streams, 20_000, true, List.of(THEIRS.getCertificatePath()[0]), "box.test",
+            new BoxPlan.Limits(2, 100, 1_000_000, 4_000_000));
+    }
+
+    Config with(Http3 told) throws IOException {
+        Config plain = config(1024, settings(), 0);
+        return new Config(plain.name(), plain.listen(), plain.discovery(), plain.seed(), plain.connections(),
+            plain.known(), plain.boot(), told);
+    }
+
+    @Override
+    void start() throws IOException, InterruptedException {
+        node = new Node(with(told(sessions, streams, OURS)), (s, seed) -> module, false, new Http3Extension(),
+            line -> {
+                synchronized (log) {
+                    log.add(line);
+                }
+            });
+        at = node.start();
+        assertEquals("PERSISTED [s1=UP]", module.next());
+    }
+
+    H3Client client() throws Exception {
+        return client(OURS.getCertificatePath()[0], node.beside());
+    }
+
+    H3Client client(X509Certificate trust, InetSocketAddress to) throws Exception {
+        H3Client client = new H3Client(to, trust);
+        open.add(client);
+        return client;
+    }
+
+    @AfterEach
+    void closeClients() {
+        open.forEach(H3Client::close);
+    }
+}
--- /dev/null
+++ b/src/test/java/junctionhead/node/Http3UpstreamTest.java
@@ -0,0 +1,296 @@
+package junctionhead.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Attempts over HTTP/3: what each ending proves to the module, and when HTTP/1.1 stands in. */
+class Http3UpstreamTest extends Http3Fixture {
+    private H3Box box;
+
+    private void startWithBox(int allowed) throws Exception {
+        box = new H3Box(THEIRS, 0, allowed);
+        http3 = box.address();
+        start();
+    }
+
+    @AfterEach
+    void closeBox() {
+        if (box != null) {
+            box.close();
+        }
+    }
+
+    private static Client plain(NodeFixture f, String id) throws Exception {
+        return new Client(f.at).send(post("book", "Req-Deadline-Ms: 20000\r\n", "seat")
+            .replace("Req-Id: r1", "Req-Id: " + id));
+    }
+
+    @Test
+    void httpOneGoesOnOverHttp3AndBack() throws Exception {
+        startWithBox(100);
+        try (Client client = plain(this, "r1")) {
+            H3Box.Got got = box.next();
+            assertEquals("POST", got.field(":method"));
+            assertEquals("backend.local", got.field(":authority"));
+            assertEquals("seat", got.body);
+            assertEquals("4", got.field("content-length"));
+            assertEquals("r1", got.field("req-id"));
+            assertTrue(Integer.parseInt(got.field("req-deadline-ms")) <= 20_000);
+            got.answer(200, "srv-load", "TEXT inflight=3", "done");
+            assertEquals(200, client.status());
+            assertEquals("done", new String(client.body, java.nio.charset.StandardCharsets.US_ASCII));
+            assertEquals("OK 3.0 closed", module.next().replace("OK 3 ", "OK 3.0 "));
+        }
+        assertTrue(upstream.isEmpty());
+    }
+
+    @Test
+    void bothSidesSpeakHttp3() throws Exception {
+        startWithBox(100);
+        H3Client client = client();
+        H3Client.Got got = client.book("r1");
+        H3Box.Got asked = box.next();
+        assertEquals("seat", asked.body);
+        assertEquals("backend.local", asked.field(":authority"));
+        asked.answer("done");
+        assertEquals("200 done", got.end());
+        assertEquals(1, got.heads);
+    }
+
+    @Test
+    void oneConnectionCarriesManyAndOneAnswerEach() throws Exception {
+        startWithBox(100);
+        H3Client client = client();
+        List<H3Client.Got> gots = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            gots.add(client.get("r" + i));
+        }
+        for (int i = 0; i < 100; i++) {
+            H3Box.Got asked = box.next();
+            asked.answer(asked.field("req-id"));
+        }
+        for (int i = 0; i < 100; i++) {
+            assertEquals("200 r" + i, gots.get(i).end());
+        }
+        assertEquals(1, box.connections.size());
+    }
+
+    @Test
+    void requestsBeyondTheCongestionWindowComeWhole() throws Exception {
+        startWithBox(100);
+        String body = "seat".repeat(1_000);
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            Client client = new Client(at);
+            clients.add(client);
+            client.send(post("book", "Req-Deadline-Ms: 20000\r\n", body).replace("r1", "r" + i));
+        }
+        for (int i = 0; i < 60; i++) {
+            H3Box.Got asked = box.next();
+            assertEquals(body, asked.body);
+            asked.answer("ok");
+        }
+        for (Client client : clients) {
+            assertEquals(200, client.status());
+            client.close();
+        }
+    }
+
+    /** What the module is told where the box ends one attempt so. */
+    private String told(java.util.function.Consumer<H3Box.Got> ending) throws Exception {
+        startWithBox(100);
+        try (Client client = plain(this, "r1")) {
+            ending.accept(box.next());
+            String told = module.next();
+            assertEquals(502, client.status());     // the scripted module fails what was not served
+            assertTrue(box.isEmpty());
+            return told;
+        }
+    }
+
+    @Test
+    void aRejectedRequestNeverRan() throws Exception {
+        assertEquals("FULL", told(got -> got.reset(0x10b)));
+    }
+
+    @Test
+    void aStreamResetAfterTheRequestMayHaveRun() throws Exception {
+        assertEquals("RESET", told(got -> got.reset(0x10c)));
+    }
+
+    @Test
+    void aStreamResetAsInternalErrorMayHaveRun() throws Exception {
+        assertEquals("RESET", told(got -> got.reset(0x102)));
+    }
+
+    @Test
+    void aStreamAboveTheGoAwayNeverRan() throws Exception {
+        assertEquals("NOT_SENT", told(got -> got.goAway(0)));
+    }
+
+    @Test
+    void aConnectionThatClosesMayHaveRunWhatItHeld() throws Exception {
+        assertEquals("RESET", told(H3Box.Got::closeConnection));
+    }
+
+    @Test
+    void whatTheUpstreamDeclinesNeverRan() throws Exception {
+        assertEquals("FULL", told(got -> got.answer(503, "srv-declined", "1", "no")));
+    }
+
+    @Test
+    void anAnswerThatBreaksItsLengthIsNone() throws Exception {
+        assertEquals("RESET", told(got -> got.answer(200, "content-length", "9", "done")));
+    }
+
+    @Test
+    void anAnswerLongerThanIsHeldIsNone() throws Exception {
+        assertEquals("RESET", told(got -> got.answer("y".repeat(70_000))));
+    }
+
+    @Test
+    void aGoAwayLetsWhatItCoversFinish() throws Exception {
+        startWithBox(100);
+        try (Client client = plain(this, "r1")) {
+            H3Box.Got got = box.next();
+            got.goAway(4);
+            // Another connection for what comes now; the first one's answer still counts.
+            try (Client second = plain(this, "r2")) {
+                H3Box.Got other = box.next();
+                while (other.stream.parent() == got.stream.parent()) {
+                    // It crossed the GOAWAY: never processed, says the box, and the module is told so.
+                    assertEquals("NOT_SENT", module.next());
+                    assertEquals(502, second.status());
+                    second.send(post("book", "Req-Deadline-Ms: 20000\r\n", "seat").replace("r1", "r3"));
+                    other = box.next();
+                }
+                other.answer("two");
+                assertEquals(200, second.status());
+            }
+            got.answer("one");
+            assertEquals(200, client.status());
+        }
+    }
+
+    @Test
+    void aConnectionThatDiesWithAHundredStreamsGivesEachOneAnswer() throws Exception {
+        startWithBox(200);
+        H3Client client = client();
+        List<H3Client.Got> gots = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            gots.add(client.book("r" + i));
+        }
+        H3Box.Got last = null;
+        for (int i = 0; i < 100; i++) {
+            last = box.next();
+        }
+        last.closeConnection();
+        for (H3Client.Got got : gots) {
+            assertEquals("502 failed", got.end());
+            assertEquals(1, got.heads);
+        }
+        assertTrue(box.isEmpty());
+        assertTrue(upstream.isEmpty());
+    }
+
+    @Test
+    void withoutAHandshakeHttp1StandsInAndHttp3ComesBack() throws Exception {
+        H3Box gone = new H3Box(THEIRS, 0, 100);
+        http3 = gone.address();
+        int port = gone.port();
+        gone.close();
+        start();
+        try (Client first = plain(this, "r1")) {
+            assertEquals("CONNECT_FAILED", module.next());
+            assertEquals(502, first.status());
+        }
+        try (Client second = plain(this, "r2")) {
+            assertEquals(200, Integer.parseInt(second.answerAfter(upstream).split(" ")[1]));
+        }
+        module.next();
+        box = new H3Box(THEIRS, port, 100);
+        // A trial begins beside the requests that HTTP/1.1 carries; after it HTTP/3 carries them again.
+        for (int i = 0; box.isEmpty(); i++) {
+            try (Client next = plain(this, "n" + i)) {
+                int request = i;
+                while (box.isEmpty() && upstream.isEmpty()) {
+                    Thread.onSpinWait();
+                }
+                assertTrue(request < 1_000_000);
+                if (!upstream.isEmpty()) {
+                    assertEquals(200, Integer.parseInt(next.answerAfter(upstream).split(" ")[1]));
+                } else {
+                    box.next().answer("ok");
+                    assertEquals(200, next.status());
+                    return;
+                }
+            }
+        }
+    }
+
+    @Test
+    void anUpstreamThatShowsAnotherCertificateIsNotTrusted() throws Exception {
+        box = new H3Box(OURS, 0, 100);
+        http3 = box.address();
+        start();
+        try (Client first = plain(this, "r1")) {
+            assertEquals("CONNECT_FAILED", module.next());
+            assertEquals(502, first.status());
+        }
+        assertTrue(box.isEmpty());
+    }
+
+    /** Requests that waited for the handshake, and then many more than the upstream allows at once. */
+    @Test
+    void streamsThatEndedMakeRoomForOthers() throws Exception {
+        startWithBox(6);
+        H3Client client = client();
+        List<H3Client.Got> gots = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            gots.add(client.get("w" + i));
+        }
+        for (int i = 0; i < 4; i++) {
+            H3Box.Got asked = box.next();
+            asked.answer(asked.field("req-id"));
+        }
+        for (int i = 0; i < 4; i++) {
+            assertEquals("200 w" + i, gots.get(i).end());
+        }
+        for (int i = 0; i < 60; i++) {
+            H3Client.Got got = client.get("r" + i);
+            H3Box.Got asked = box.next();
+            asked.answer(asked.field("req-id"));
+            assertEquals("200 r" + i, got.end());
+        }
+        assertTrue(upstream.isEmpty());
+    }
+
+    @Test
+    void theUpstreamsLimitOfStreamsIsKept() throws Exception {
+        startWithBox(3);
+        H3Client client = client();
+        List<H3Client.Got> gots = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            gots.add(client.get("r" + i));
+        }
+        List<H3Box.Got> asked = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            asked.add(box.next());
+        }
+        H3Client.Got fourth = client.get("r3");     // a second connection
+        H3Box.Got other = box.next();
+        assertNotEquals(asked.get(0).stream.parent(), other.stream.parent());
+        other.answer("r3");
+        assertEquals("200 r3", fourth.end());
+        asked.forEach(a -> a.answer(a.field("req-id")));
+        for (int i = 0; i < 3; i++) {
+            assertEquals("200 r" + i, gots.get(i).end());
+        }
+    }
+}
--- a/src/test/java/junctionhead/rig/DemoTest.java
+++ b/src/test/java/junctionhead/rig/DemoTest.java
@@ -60,6 +60,32 @@
             (scenario, known, discovery) -> new Twin(known, Twin.Fault.KNOWS_NOTHING)), this::told);
     }
 
+    /** Both protocols on both sides, over a path that loses, while boxes die and drain. */
+    @Test
+    void theRealBalancerKeepsTheRulesOverBothProtocols()
+            throws IOException, InterruptedException, Problems.Bad {
+        String scenario = ScenarioReaderTest.SMALL.replace("\"2s\"\n[[boxes]]", "\"4s\"\n[[boxes]]")
+            .replace("count = 4", "count = 8\ncores = 4") + """
+            [[fault]]
+            at = "1s"
+            what = "kill"
+            boxes = "box-1"
+            lasting = "1s"
+            [[fault]]
+            at = "1s"
+            what = "drain"
+            boxes = "box-3"
+            lasting = "2s"
+            """;
+        Http3Run run = new Http3Run(0.02, 4, 1);
+        try (PrintStream out = new PrintStream(bytes, true, StandardCharsets.UTF_8);
+             Demo demo = new Demo(ScenarioReader.read("test.toml", scenario), (s, known, discovery) ->
+                 BalancerProcess.http3(CLASS_PATH, s, discovery, run.pem(), 60), run, out, false)) {
+            assertEquals(Demo.End.CLEAN, demo.play(), this::told);
+        }
+        assertTrue(told().contains("booked twice: 0, refused after it ran: 0, unanswered: 0"), this::told);
+    }
+
     /** Half of the boxes die with what they hold, and come back cold; others drain and are lied about. */
     @Test
     void theRealBalancerKeepsTheRulesThroughItsFaults()
