--- a/src/main/java/junctionhead/config/toml/Http3Table.java
+++ b/src/main/java/junctionhead/config/toml/Http3Table.java
@@ -26,7 +26,8 @@
         Identity identity = identity(t, file, clients);
         Sessions.Limits sessions = new Sessions.Limits((int) t.number("connections", 500, 1, 1e6),
             (int) t.number("per-address", 250, 1, 1e6), (int) t.number("handshakes", 100, 2, 1e6),
-            (long) t.number("unread-mib", 8, 1, 1 << 20) << 20, t.time("rest", "1s") * 1_000);
+            (long) t.number("unread-mib", 8, 1, 1 << 20) << 20, t.time("rest", "1s") * 1_000,
+            t.time("handshake", "3s") * 1_000);
         int streams = (int) t.number("streams", 100, 1, 1e5);
         long idle = Math.max(1_000, t.time("idle", "30s") / 1_000);
         boolean advertise = t.flag("advertise", true);
--- a/src/main/java/junctionhead/front/http3/Connection.java
+++ b/src/main/java/junctionhead/front/http3/Connection.java
@@ -18,6 +18,7 @@
 import junctionhead.http3.ResetGuard;
 import junctionhead.http3.Sessions;
 import junctionhead.http3.wire.Codes;
+import junctionhead.http3.wire.Quiet;
 
 /** One connection of a client and its streams. On the event loop. */
 final class Connection extends ChannelInboundHandlerAdapter {
@@ -47,7 +48,7 @@
                     protected void initChannel(QuicStreamChannel stream) {
                         opened(stream);
                     }
-                }, null, null, Codes.settings(), true));
+                }, null, null, Codes.settings(), true), new Quiet());
         }
     }
 
--- a/src/main/java/junctionhead/front/http3/Http3Server.java
+++ b/src/main/java/junctionhead/front/http3/Http3Server.java
@@ -142,6 +142,7 @@
 
     private void look() {
         long now = System.nanoTime();
+        sessions.endOverdue(now);
         for (Connection connection : List.copyOf(connections)) {
             connection.look(now);
         }
@@ -166,7 +167,9 @@
 
     /** Ends all connections, once all that was taken has been answered. */
     public void end() {
-        looking.cancel(false);
+        if (!looking.cancel(false)) {
+            return;                                 // told before: more may be taken while it stops
+        }
         log.accept(sessions.summary());
         List.copyOf(connections).forEach(c -> c.end(ErrorCodes.NO_ERROR));
     }
--- a/src/main/java/junctionhead/front/http3/RequestStream.java
+++ b/src/main/java/junctionhead/front/http3/RequestStream.java
@@ -1,6 +1,5 @@
 package junctionhead.front.http3;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -16,7 +15,6 @@
 import io.netty.handler.codec.quic.QuicStreamChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import junctionhead.core.Answer;
@@ -28,6 +26,7 @@
 import junctionhead.http3.Malformed;
 import junctionhead.http3.MessageState;
 import junctionhead.http3.wire.Codes;
+import junctionhead.http3.wire.Gathered;
 import junctionhead.http3.wire.Http3Fields;
 import junctionhead.http3.wire.LastFrame;
 
@@ -35,7 +34,6 @@
 final class RequestStream extends Http3RequestStreamInboundHandler implements Reply {
     private static final long RECEIVE = TimeUnit.MILLISECONDS.toNanos(2_000);   // a whole request
     private static final long UNREAD = TimeUnit.MILLISECONDS.toNanos(5_000);    // an answer that nobody reads
-    private static final byte[] NOTHING = new byte[0];
 
     private final Connection connection;
     private final Http3Server server;
@@ -45,8 +43,7 @@
     private final long since = System.nanoTime();
     private HeadRules.Head head;
     private Http3Headers headers;
-    private byte[] body = NOTHING;
-    private int length;                             // bytes of the body, taken from the room
+    private final Gathered body = new Gathered();   // its bytes are taken from the room
     private Runnable gone;                          // set while the core owes an answer here
     private boolean answered;
     private final boolean late;                     // behind our GOAWAY
@@ -88,9 +85,8 @@
     }
 
     private void drop() {
-        server.room.give(length);
-        length = 0;
-        body = NOTHING;
+        server.room.give(body.length());
+        body.drop();
     }
 
     // ---------------------------------------------------------------- what comes in
@@ -135,18 +131,12 @@
             if (answered || rejected) {
                 return;
             }
-            ByteBuf more = frame.content();
-            int bytes = more.readableBytes();
+            int bytes = frame.content().readableBytes();
             if (!state.data(bytes) || !server.room.take(bytes)) {
                 refuse(413, "too large");
                 return;
             }
-            if (length + bytes > body.length) {
-                body = Arrays.copyOf(body, length == 0 ? bytes
-                    : (int) Math.min(Order.BODY_MOST, 2L * (length + bytes)));
-            }
-            more.readBytes(body, length, bytes);
-            length += bytes;
+            body.add(frame.content());
         } catch (Malformed e) {
             malformed(e);
         } finally {
@@ -198,6 +188,7 @@
     private void malformed(Malformed why) {
         rejected = true;
         drop();
+        connection.cancelled();                     // costs its client what a reset stream does
         Codes.reset(stream, why.code());
     }
 
@@ -217,11 +208,10 @@
             if (path == null) {
                 throw new IllegalArgumentException("not a path");
             }
-            if (head.method().equals("GET") && length > 0) {
+            if (head.method().equals("GET") && body.length() > 0) {
                 throw new IllegalArgumentException("a GET with a body");
             }
-            byte[] all = body.length == length ? body : Arrays.copyOf(body, length);
-            order = OrderRules.order(head.method(), path, fields, all, server.boot);
+            order = OrderRules.order(head.method(), path, fields, body.all(), server.boot);
             fields.endToEnd();
         } catch (IllegalArgumentException e) {
             refuse(400, e.getMessage());
--- a/src/main/java/junctionhead/http3/Sessions.java
+++ b/src/main/java/junctionhead/http3/Sessions.java
@@ -9,8 +9,12 @@
  * one is let in, whether it must prove its address first, who goes for room. Decides without I/O; time in ns.
  */
 public final class Sessions {
-    /** What is borne. {@code rest}: ns that one may be at rest while others want in. */
-    public record Limits(int connections, int perAddress, int handshakes, long unread, long rest) { }
+    /**
+     * What is borne. {@code rest}: ns that one may be at rest while others want in; {@code handshake}: ns
+     * that one may take until it is established.
+     */
+    public record Limits(int connections, int perAddress, int handshakes, long unread, long rest,
+            long handshake) { }
 
     /** One connection. */
     public static final class Session {
@@ -38,9 +42,9 @@
 
     private final Limits limits;
     private final LinkedHashSet<Session> all = new LinkedHashSet<>();
+    private final LinkedHashSet<Session> young = new LinkedHashSet<>();     // handshakes, the oldest first
     private final LinkedHashSet<Session> resting = new LinkedHashSet<>();   // the longest at rest first
     private final Map<Object, Integer> byAddress = new HashMap<>();
-    private int handshakes;
     private long unread;
     private long turnedAway;
     private long gone;                              // ended for room or for memory
@@ -54,7 +58,7 @@
      * room is nearly taken. RFC 9000, section 8.1.
      */
     public boolean mustProve() {
-        return handshakes >= limits.handshakes() / 2 || all.size() >= limits.connections() * 3 / 4;
+        return young.size() >= limits.handshakes() / 2 || all.size() >= limits.connections() * 3 / 4;
     }
 
     /**
@@ -63,17 +67,29 @@
      */
     public Session open(Object address, Runnable closer, long now) {
         boolean crowd = byAddress.getOrDefault(address, 0) >= limits.perAddress();
-        if (handshakes >= limits.handshakes() || crowd || all.size() >= limits.connections() && !room(now)) {
+        if (crowd || young.size() >= limits.handshakes()
+                || all.size() >= limits.connections() && !room(now)) {
             turnedAway++;
             return null;
         }
         Session s = new Session(address, closer, now);
         all.add(s);
         byAddress.merge(address, 1, Integer::sum);
-        handshakes++;
+        young.add(s);
         return s;
     }
 
+    /** Ends handshakes that take too long: with forged addresses they would keep others out until idle. */
+    public void endOverdue(long now) {
+        while (!young.isEmpty()) {
+            Session oldest = young.iterator().next();
+            if (now - oldest.since < limits.handshake()) {
+                return;
+            }
+            end(oldest);
+        }
+    }
+
     private boolean room(long now) {
         for (Session s : resting) {
             if (now - s.since >= limits.rest()) {
@@ -95,7 +111,7 @@
     public void established(Session s, long now) {
         if (all.contains(s) && !s.established) {
             s.established = true;
-            handshakes--;
+            young.remove(s);
             rest(s, now);
         }
     }
@@ -143,7 +159,7 @@
     public void closed(Session s) {
         if (all.remove(s)) {
             resting.remove(s);
-            handshakes -= s.established ? 0 : 1;
+            young.remove(s);
             unread -= s.unread;
             byAddress.computeIfPresent(s.address, (a, n) -> n > 1 ? n - 1 : null);
         }
@@ -154,7 +170,7 @@
     }
 
     public int handshakes() {
-        return handshakes;
+        return young.size();
     }
 
     public String summary() {
--- /dev/null
+++ b/src/main/java/junctionhead/http3/wire/Gathered.java
@@ -0,0 +1,39 @@
+package junctionhead.http3.wire;
+
+import io.netty.buffer.ByteBuf;
+import java.util.Arrays;
+import junctionhead.core.Order;
+
+/** The data of a message as they come in, copied off the codec's buffers. For the event loop's thread. */
+public final class Gathered {
+    private static final byte[] NOTHING = new byte[0];
+
+    private byte[] bytes = NOTHING;
+    private int length;
+
+    /** Takes all that is left to read; its caller has seen that it stays within {@link Order#BODY_MOST}. */
+    public void add(ByteBuf more) {
+        int count = more.readableBytes();
+        if (length + count > bytes.length) {
+            bytes = Arrays.copyOf(bytes, length == 0 ? count
+                : (int) Math.min(Order.BODY_MOST, 2L * (length + count)));
+        }
+        more.readBytes(bytes, length, count);
+        length += count;
+    }
+
+    public int length() {
+        return length;
+    }
+
+    /** What has come; not to be changed. */
+    public byte[] all() {
+        return bytes.length == length ? bytes : Arrays.copyOf(bytes, length);
+    }
+
+    /** Keeps nothing. */
+    public void drop() {
+        bytes = NOTHING;
+        length = 0;
+    }
+}
--- a/src/main/java/junctionhead/node/http3/Http3Extension.java
+++ b/src/main/java/junctionhead/node/http3/Http3Extension.java
@@ -6,6 +6,7 @@
 import junctionhead.core.Carrier;
 import junctionhead.front.http3.Http3Server;
 import junctionhead.http3.Http3;
+import junctionhead.http3.Identity;
 import junctionhead.node.Extension;
 import junctionhead.upstream.http3.Http3Upstreams;
 
@@ -22,11 +23,13 @@
         private final Lent lent;
         private final Http3 told;
         private final Http3Server server;           // null where no client speaks it
+        private Identity identity;                  // shown to clients
         private Http3Upstreams upstreams;           // null where no upstream does
 
         InNode(Lent lent) {
             this.lent = lent;
             told = lent.config().http3();
+            identity = told.identity();
             server = told.listen() == null ? null : new Http3Server(lent.loop(), lent.config().boot(),
                 lent.dispatcher(), lent.room(), told.identity(),
                 new Http3Server.Limits(told.sessions(), told.streams(), told.idle()), lent.log());
@@ -71,8 +74,11 @@
 
         @Override
         public void reload(Config fresh) {
-            if (server != null && fresh.http3() != null && fresh.http3().identity() != null) {
-                server.renew(fresh.http3().identity());
+            Identity other = fresh.http3() == null ? null : fresh.http3().identity();
+            if (server != null && other != null && !other.equals(identity)) {
+                identity = other;
+                server.renew(other);
+                lent.log().accept("http3: new connections are shown another certificate");
             }
         }
 
@@ -96,7 +102,6 @@
                 server.end();
             }
             if (upstreams != null) {
-                upstreams.close();
                 upstreams.end();
             }
         }
--- a/src/main/java/junctionhead/node/http3/Rehearsal3.java
+++ b/src/main/java/junctionhead/node/http3/Rehearsal3.java
@@ -80,7 +80,6 @@
         if (!over) {
             over = true;
             limit.cancel(false);
-            carrier.close();
             carrier.end();
             done.run();
         }
--- a/src/main/java/junctionhead/upstream/Upstreams.java
+++ b/src/main/java/junctionhead/upstream/Upstreams.java
@@ -37,6 +37,7 @@
 import junctionhead.core.Answer;
 import junctionhead.core.Carrier;
 import junctionhead.core.Clock;
+import junctionhead.core.DrainGrace;
 import junctionhead.core.Fields;
 import junctionhead.core.Order;
 import junctionhead.core.Targets;
@@ -45,15 +46,13 @@
 /** The connections to the upstreams, one request at a time on each, and what becomes of each request. */
 public final class Upstreams implements Carrier {
     private static final double IDLE_SHARE = 0.5;   // of the time after which upstreams close an idle one
-    private static final long DRAIN_MARGIN = 50_000; // µs before the grace is over: the clock is not shared
-    private static final long FORGET = 60_000_000;  // µs after its grace that a stopped upstream is kept
     private static final AsciiString DEADLINE = AsciiString.cached(Order.DEADLINE);
     private static final int CONNECT_MS = 1_000;    // where the settings give no limit
 
     private static final class Upstream {
         final String id;
         InetSocketAddress endpoint;
-        long stopAt = Long.MAX_VALUE;               // when the grace of its drain is over
+        long stopAt = DrainGrace.NEVER;               // when the grace of its drain is over
         final ArrayDeque<Connection> idle = new ArrayDeque<>();     // the most recently used last
 
         Upstream(String id) {
@@ -101,7 +100,7 @@
                 u.endpoint = t.endpoint();
             }
             if (t.server().state() == Policy.State.UP) {
-                u.stopAt = Long.MAX_VALUE;
+                u.stopAt = DrainGrace.NEVER;
             } else {
                 stop(u, now);
             }
@@ -112,8 +111,7 @@
     }
 
     private void stop(Upstream u, long now) {
-        long grace = boot.settings().bounds().drainGrace();
-        u.stopAt = Math.min(u.stopAt, now + Math.max(0, grace - Math.min(DRAIN_MARGIN, grace / 2)));
+        u.stopAt = DrainGrace.stopAt(u.stopAt, now, boot.settings().bounds().drainGrace());
         closeIdle(u);
     }
 
@@ -211,7 +209,7 @@
     private void closeOld() {
         // Guards against a table that grows with every machine that comes and goes.
         long now = clock.now();
-        upstreams.values().removeIf(u -> u.stopAt < now - FORGET);
+        upstreams.values().removeIf(u -> u.stopAt < now - DrainGrace.FORGET);
         for (Upstream u : upstreams.values()) {
             while (!u.idle.isEmpty() && !u.idle.peekFirst().usable()) {
                 u.idle.pollFirst().close();
@@ -332,7 +330,7 @@
             written = false;
             idleSince = clock.now();
             // Another address now: who listens at the old one is another upstream, if any.
-            if (upstream.stopAt < Long.MAX_VALUE || !endpoint.equals(upstream.endpoint)) {
+            if (upstream.stopAt < DrainGrace.NEVER || !endpoint.equals(upstream.endpoint)) {
                 close();
             } else {
                 upstream.idle.addLast(this);
--- a/src/main/java/junctionhead/upstream/http3/Box.java
+++ b/src/main/java/junctionhead/upstream/http3/Box.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import junctionhead.Policy.Outcome;
+import junctionhead.core.DrainGrace;
 import junctionhead.http3.BoxPlan;
 import junctionhead.http3.BoxPlan.Link;
 
@@ -15,7 +16,7 @@
     private final InetSocketAddress endpoint;
     private final BoxPlan plan;
     private final Map<Link, Channel3> channels = new HashMap<>();
-    private long stopAt = Long.MAX_VALUE;           // when the grace of its drain is over
+    private long stopAt = DrainGrace.NEVER;         // when the grace of its drain is over
 
     Box(Http3Upstreams owner, String id, InetSocketAddress endpoint, BoxPlan plan) {
         this.owner = owner;
--- a/src/main/java/junctionhead/upstream/http3/Call.java
+++ b/src/main/java/junctionhead/upstream/http3/Call.java
@@ -1,6 +1,5 @@
 package junctionhead.upstream.http3;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
@@ -15,7 +14,6 @@
 import io.netty.handler.codec.quic.QuicStreamChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import junctionhead.LoadReport;
@@ -32,13 +30,12 @@
 import junctionhead.http3.Malformed;
 import junctionhead.http3.MessageState;
 import junctionhead.http3.wire.Codes;
+import junctionhead.http3.wire.Gathered;
 import junctionhead.http3.wire.Http3Fields;
 import junctionhead.http3.wire.LastFrame;
 
 /** One attempt on a stream of its own, and how it ends. On the event loop. */
 final class Call implements Carrier.Attempt {
-    private static final byte[] NOTHING = new byte[0];
-
     private final Http3Upstreams owner;
     private final Box box;
     private final Order order;
@@ -52,8 +49,7 @@
     private boolean ended;
     private Http3Headers headers;
     private int status;
-    private byte[] body = NOTHING;
-    private int length;
+    private final Gathered body = new Gathered();
 
     Call(Http3Upstreams owner, Box box, Order order, long waitMillis, Carrier.Listener listener) {
         this.owner = owner;
@@ -100,7 +96,12 @@
             last = on.write(new DefaultHttp3DataFrame(Unpooled.wrappedBuffer(order.body())));
         }
         // From here on the upstream may have all of it, and may begin with it.
-        last.addListener(done -> given |= done.isSuccess());
+        last.addListener(done -> {
+            given |= done.isSuccess();
+            if (!done.isSuccess()) {                // told at once, not when its time is up
+                ended(How.STREAM_RESET, -1);
+            }
+        });
         on.flush();
     }
 
@@ -151,7 +152,7 @@
     }
 
     private void answered() {
-        byte[] all = body.length == length ? body : Arrays.copyOf(body, length);
+        byte[] all = body.all();
         Answer answer = new Answer(status, new Http3Fields(headers), all);
         String report = answer.fields().get("Srv-Load");
         if (report == null && waitMillis == 0) {
@@ -196,18 +197,11 @@
                 if (ended) {
                     return;
                 }
-                ByteBuf more = frame.content();
-                int bytes = more.readableBytes();
-                if (!state.data(bytes)) {
+                if (!state.data(frame.content().readableBytes())) {
                     ended(How.TOO_LONG, -1);
                     return;
                 }
-                if (length + bytes > body.length) {
-                    body = Arrays.copyOf(body, length == 0 ? bytes
-                        : (int) Math.min(Order.BODY_MOST, 2L * (length + bytes)));
-                }
-                more.readBytes(body, length, bytes);
-                length += bytes;
+                body.add(frame.content());
             } catch (Malformed e) {
                 ended(How.BAD_ANSWER, -1);
             } finally {
--- a/src/main/java/junctionhead/upstream/http3/Channel3.java
+++ b/src/main/java/junctionhead/upstream/http3/Channel3.java
@@ -24,6 +24,7 @@
 import junctionhead.http3.Endings.How;
 import junctionhead.http3.ErrorCodes;
 import junctionhead.http3.wire.Codes;
+import junctionhead.http3.wire.Quiet;
 
 /** One QUIC connection to an upstream: its handshake, its streams, its end. On the event loop. */
 final class Channel3 {
@@ -65,7 +66,7 @@
                     channel = quic;
                     quic.closeFuture().addListener(closed -> lost());
                     quic.pipeline().addLast(new Streams(), new Http3ClientConnectionHandler(new Control(),
-                        null, null, Codes.settings(), true));
+                        null, null, Codes.settings(), true), new Quiet());
                 }
             }).remoteAddress(box.endpoint()).connect().addListener(done -> {
                 if (!done.isSuccess()) {
@@ -113,8 +114,9 @@
     }
 
     private void open(Call call) {
-        if (box.owner().clock.now() >= box.stopAt()) {
-            // Rule 3: the list changed while this one waited for its connection.
+        // Rule 3: the list changed while this one waited for its connection; or more waited than the peer
+        // allows. The codec's own refusal would use up the stream's number, which counts at the peer.
+        if (box.owner().clock.now() >= box.stopAt() || left() <= 0) {
             call.ended(How.NO_STREAM, -1);
             return;
         }
--- a/src/main/java/junctionhead/upstream/http3/Http3Upstreams.java
+++ b/src/main/java/junctionhead/upstream/http3/Http3Upstreams.java
@@ -27,11 +27,11 @@
 import junctionhead.SettingsReader;
 import junctionhead.core.Carrier;
 import junctionhead.core.Clock;
+import junctionhead.core.DrainGrace;
 import junctionhead.core.Fields;
 import junctionhead.core.Order;
 import junctionhead.core.Targets;
 import junctionhead.http3.BoxPlan;
-import junctionhead.http3.Endings;
 
 /**
  * Attempts over HTTP/3 to those upstreams that speak it, over another carrier to all others and where HTTP/3
@@ -46,9 +46,8 @@
     public record Limits(BoxPlan.Limits plan, List<X509Certificate> trust, String serverName, long idle,
             boolean named) { }
 
-    private static final long DRAIN_MARGIN = 50_000; // µs before the grace is over: the clock is not shared
-    private static final long FORGET = 60_000_000;  // µs after its grace that a stopped upstream is kept
     private static final long LOOK_MS = 250;        // between looks for connections at rest
+    private static final long FAREWELL_MS = 100;    // for the last packets to leave
     private static final long CONNECT = 1_000_000;  // µs, where the settings give no limit
     private static final long WINDOW = 16L * Order.BODY_MOST;
     private static final int CONTROL_STREAMS = 3;
@@ -145,7 +144,7 @@
                 boxes.put(id, box);
             }
             if (box != null && t.server().state() == State.UP) {
-                box.stopAt(Long.MAX_VALUE);
+                box.stopAt(DrainGrace.NEVER);
             } else if (box != null) {
                 stop(box, now);
             }
@@ -156,8 +155,7 @@
     }
 
     private void stop(Box box, long now) {
-        long grace = boot.settings().bounds().drainGrace();
-        box.stopAt(Math.min(box.stopAt(), now + Math.max(0, grace - Math.min(DRAIN_MARGIN, grace / 2))));
+        box.stopAt(DrainGrace.stopAt(box.stopAt(), now, boot.settings().bounds().drainGrace()));
     }
 
     // ---------------------------------------------------------------- attempts and probes
@@ -208,23 +206,21 @@
 
     private void closeOld() {
         long now = clock.now();
-        boxes.values().removeIf(b -> b.stopAt() < now - FORGET && b.isEmpty());
+        boxes.values().removeIf(b -> b.stopAt() < now - DrainGrace.FORGET && b.isEmpty());
         // Well before the upstream's own idle time-out: a request on a dying connection may have run.
         boxes.values().forEach(b -> b.closeIdle(now - limits.idle() * 1000 / 2));
     }
 
-    static Outcome outcome(Endings.How how, boolean given, long code) {
-        return Endings.outcome(how, given, code);
-    }
-
-    /** Closes all that is idle, and the socket once nothing is left on it. */
-    public void close() {
-        sweep.cancel(false);
-        boxes.values().forEach(Box::retire);
-    }
-
-    /** Ends all connections. */
+    /** Ends all connections, whatever they hold, and then their sockets. */
     public void end() {
+        sweep.cancel(false);
         boxes.values().forEach(Box::end);
+        loop.schedule(() -> {
+            for (ChannelFuture socket : new ChannelFuture[] {socket4, socket6}) {
+                if (socket != null) {
+                    socket.channel().close();
+                }
+            }
+        }, FAREWELL_MS, TimeUnit.MILLISECONDS);
     }
 }
--- a/src/rig/java/junctionhead/rig/BalancerProcess.java
+++ b/src/rig/java/junctionhead/rig/BalancerProcess.java
@@ -93,8 +93,12 @@
         command.addAll(FLAGS);
         command.addAll(List.of("-cp", classPath, "junctionhead.cli.Cli", "serve", "--config",
             config.toString()));
-        BalancerProcess started = new BalancerProcess(
-            new ProcessBuilder(command).redirectErrorStream(true).start(), folder);
+        return ready(new BalancerProcess(
+            new ProcessBuilder(command).redirectErrorStream(true).start(), folder), seconds);
+    }
+
+    private static BalancerProcess ready(BalancerProcess started, long seconds)
+            throws IOException, InterruptedException {
         try {
             started.awaitReady(seconds);
             return started;
@@ -112,16 +116,8 @@
         command.addAll(FLAGS);
         command.addAll(List.of("-cp", classPath, PassThrough.class.getName()));
         boxes.forEach(b -> command.add(Addresses.text(b)));
-        BalancerProcess started = new BalancerProcess(
-            new ProcessBuilder(command).redirectErrorStream(true).start(),
-            Files.createTempDirectory("honeyspindle-rig"));
-        try {
-            started.awaitReady(seconds);
-            return started;
-        } catch (IOException | InterruptedException | RuntimeException e) {
-            started.close();
-            throw e;
-        }
+        return ready(new BalancerProcess(new ProcessBuilder(command).redirectErrorStream(true).start(),
+            Files.createTempDirectory("honeyspindle-rig")), seconds);
     }
 
     private BalancerProcess(Process process, Path folder) {
--- a/src/rig/java/junctionhead/rig/Http3Side.java
+++ b/src/rig/java/junctionhead/rig/Http3Side.java
@@ -40,31 +40,15 @@
     private static final int STREAMS = 200;
     private static final int INTERNAL_ERROR = 0x102;
 
-    /** How a box's side of a protocol answers one request, or ends it without an answer. */
-    interface Line {
-        void answer(int status, String text, boolean unseen);
-
-        void reset();
-    }
-
-    /** What a box makes of a request. */
-    interface Taker {
-        void take(Line line, String id, String uri, String key, long begunAt);
-
-        void gone(Line line);
-
-        int load();
-    }
-
     private final EventLoop loop;
     private final Clock clock;
-    private final Taker taker;
+    private final StandInBox taker;
     private final QuicSslContext context;
     private final Set<QuicChannel> connections = new HashSet<>();
     private Channel socket;
     private InetSocketAddress address;
 
-    Http3Side(EventLoop loop, Clock clock, Identity identity, Taker taker) {
+    Http3Side(EventLoop loop, Clock clock, Identity identity, StandInBox taker) {
         this.loop = loop;
         this.clock = clock;
         this.taker = taker;
--- a/src/rig/java/junctionhead/rig/Http3Toml.java
+++ b/src/rig/java/junctionhead/rig/Http3Toml.java
@@ -48,6 +48,8 @@
         line(out, "certificate = \"cert.pem\"");
         line(out, "key = \"key.pem\"");
         line(out, "trust = \"cert.pem\"");
+        line(out, "connections = 1000");            // all clients of a run come from one address
+        line(out, "per-address = 1000");
         return out.toString();
     }
 
--- /dev/null
+++ b/src/rig/java/junctionhead/rig/Line.java
@@ -0,0 +1,9 @@
+package junctionhead.rig;
+
+/** One request at a box, by whatever protocol: how it is answered, or ended without an answer. */
+interface Line {
+    /** {@code unseen}: turned away before any work. */
+    void answer(int status, String text, boolean unseen);
+
+    void reset();
+}
--- a/src/rig/java/junctionhead/rig/StandInBox.java
+++ b/src/rig/java/junctionhead/rig/StandInBox.java
@@ -36,7 +36,7 @@
 import junctionhead.http3.Identity;
 
 /** An order box on a socket: HTTP/1.1 round a {@link BoxModel}, and what befalls it. On one event loop. */
-final class StandInBox implements BoxModel.Told, Http3Side.Taker {
+final class StandInBox implements BoxModel.Told {
     /** What the box is told of an order beyond the request itself. */
     record Known(Policy.Effect effect, long work, long window) { }
 
@@ -54,7 +54,7 @@
     private final SplittableRandom chance;
     private final BoxModel model;
     private final Set<Connection> connections = new HashSet<>();
-    private final Map<Http3Side.Line, BoxModel.Job> jobs = new HashMap<>();
+    private final Map<Line, BoxModel.Job> jobs = new HashMap<>();
     private Http3Side http3;                        // null where it speaks HTTP/1.1 only
     private Channel listener;
     private InetSocketAddress address;
@@ -281,11 +281,10 @@
         loop.schedule(() -> restart(() -> { }), cold.down(), TimeUnit.MICROSECONDS);
     }
 
-    private record Asked(Http3Side.Line line, String key) { }
+    private record Asked(Line line, String key) { }
 
     /** A whole request, by whatever protocol; {@code begunAt}: when its first bytes came. */
-    @Override
-    public void take(Http3Side.Line line, String id, String uri, String key, long begunAt) {
+    void take(Line line, String id, String uri, String key, long begunAt) {
         if (uri.startsWith("/-/")) {
             line.answer(200, "ok", false);
             return;
@@ -319,8 +318,7 @@
     }
 
     /** Who asked has left: what has not begun is dropped. */
-    @Override
-    public void gone(Http3Side.Line line) {
+    void gone(Line line) {
         BoxModel.Job job = jobs.remove(line);
         if (job != null) {
             model.forget(job);
@@ -328,12 +326,11 @@
         }
     }
 
-    @Override
-    public int load() {
+    int load() {
         return model.inFlight();
     }
 
-    private final class Connection extends ChannelInboundHandlerAdapter implements Http3Side.Line {
+    private final class Connection extends ChannelInboundHandlerAdapter implements Line {
         private final Channel channel;
         private long begunAt;
 
--- a/src/test/java/junctionhead/HouseTest.java
+++ b/src/test/java/junctionhead/HouseTest.java
@@ -9,6 +9,7 @@
 import com.tngtech.archunit.core.importer.ImportOption;
 import junctionhead.connections.Budget;
 import junctionhead.core.Clock;
+import junctionhead.core.DrainGrace;
 import junctionhead.core.OrderRules;
 import junctionhead.core.Room;
 import junctionhead.core.Tally;
@@ -41,7 +42,8 @@
     @Test
     void whatDecidesDoesNoInputOrOutputAndReadsNoClock() {
         noClasses().that().resideInAPackage(Budget.class.getPackageName()).or()
-            .belongToAnyOf(OrderRules.class, Tally.class, Balance.class, Room.class, HeadRules.class,
+            .belongToAnyOf(OrderRules.class, Tally.class, Balance.class, Room.class, DrainGrace.class,
+                HeadRules.class,
                 MessageState.class, Endings.class, BoxPlan.class, Sessions.class, ResetGuard.class,
                 RetryTokens.class).or().haveNameMatching(
                 "junctionhead\\.rig\\.(Ledger|BoxModel|Cell|Script|Report|Scenario|Tallies)(\\$.*)?")
--- a/src/test/java/junctionhead/config/toml/ConfigFileTest.java
+++ b/src/test/java/junctionhead/config/toml/ConfigFileTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.pkitesting.CertificateBuilder;
 import io.netty.pkitesting.X509Bundle;
 import java.io.IOException;
 import java.io.InputStream;
@@ -14,6 +13,7 @@
 import java.util.List;
 import junctionhead.Policy;
 import junctionhead.config.Config;
+import junctionhead.node.Certificates;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -47,8 +47,7 @@
     /** Each setting that stands there as a comment may be used. */
     @Test
     void whatIsCommentedOutIsInOrderToo(@TempDir Path folder) throws Exception {
-        X509Bundle made = new CertificateBuilder().subject("CN=a.test").setIsCertificateAuthority(true)
-            .algorithm(CertificateBuilder.Algorithm.ecp256).buildSelfSigned();
+        X509Bundle made = Certificates.selfSigned();
         Files.writeString(folder.resolve("cert.pem"), made.getCertificatePathPEM());
         Files.writeString(folder.resolve("ca.pem"), made.getCertificatePathPEM());
         Files.writeString(folder.resolve("key.pem"), made.getPrivateKeyPEM());
--- a/src/test/java/junctionhead/http3/SessionsTest.java
+++ b/src/test/java/junctionhead/http3/SessionsTest.java
@@ -16,7 +16,8 @@
 /** Who is let in, who goes, who proves an address, and who ends streams too often. */
 class SessionsTest {
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
-    private final Sessions sessions = new Sessions(new Sessions.Limits(4, 3, 4, 1_000, SECOND));
+    private final Sessions sessions = new Sessions(new Sessions.Limits(4, 3, 4, 1_000, SECOND,
+        3 * SECOND));
     private final List<String> ended = new ArrayList<>();
 
     private Session in(String name, Object address, long now) {
@@ -66,6 +67,19 @@
         assertFalse(sessions.mustProve());
     }
 
+    @Test
+    void handshakesThatTakeTooLongMakeRoom() {
+        for (int i = 0; i < 4; i++) {
+            String name = "h" + i;
+            sessions.open(name, () -> ended.add(name), i * SECOND);
+        }
+        assertNull(sessions.open("late", () -> { }, 3 * SECOND));
+        sessions.endOverdue(4 * SECOND);
+        assertEquals(List.of("h0", "h1"), ended);
+        assertEquals(2, sessions.handshakes());
+        assertNotNull(sessions.open("late", () -> { }, 4 * SECOND));
+    }
+
     @Test
     void whoLeavesMostUnreadGoesWhereMemoryIsShort() {
         Session slow = in("slow", "a", 0);
--- a/src/test/java/junctionhead/node/Certificates.java
+++ b/src/test/java/junctionhead/node/Certificates.java
@@ -5,10 +5,10 @@
 import junctionhead.http3.Identity;
 
 /** Certificates for tests, made anew for each run: for 127.0.0.1 and the name box.test. */
-final class Certificates {
+public final class Certificates {
     private Certificates() { }
 
-    static X509Bundle selfSigned() {
+    public static X509Bundle selfSigned() {
         try {
             return new CertificateBuilder().subject("CN=box.test").addSanDnsName("box.test")
                 .addSanIpAddress("127.0.0.1").setIsCertificateAuthority(true)
--- a/src/test/java/junctionhead/node/FakeUpstream.java
+++ b/src/test/java/junctionhead/node/FakeUpstream.java
@@ -75,6 +75,7 @@
     }
 
     private final ServerSocket server;
+    private final Thread accepter;
     private final BlockingQueue<Got> requests = new LinkedBlockingQueue<>();
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private final AtomicInteger connections = new AtomicInteger();
@@ -82,7 +83,7 @@
 
     FakeUpstream() throws IOException {
         server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        run(() -> {
+        accepter = run(() -> {
             while (true) {
                 Socket socket = server.accept();
                 sockets.add(socket);
@@ -96,7 +97,7 @@
         void run() throws IOException;
     }
 
-    private void run(Work work) {
+    private Thread run(Work work) {
         Thread thread = new Thread(() -> {
             try {
                 work.run();
@@ -107,6 +108,7 @@
         thread.setDaemon(true);
         readers.add(thread);
         thread.start();
+        return thread;
     }
 
     private void read(Socket socket, int number) throws IOException {
@@ -163,6 +165,12 @@
     @Override
     public void close() throws IOException {
         server.close();
+        try {
+            // One that is in accept() meanwhile may still take a connection, which nobody would answer.
+            accepter.join(TimeUnit.SECONDS.toMillis(20));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         for (Socket socket : sockets) {
             socket.close();
         }
--- a/src/test/java/junctionhead/node/H3Box.java
+++ b/src/test/java/junctionhead/node/H3Box.java
@@ -24,6 +24,7 @@
 import io.netty.handler.codec.quic.QuicSslContext;
 import io.netty.handler.codec.quic.QuicSslContextBuilder;
 import io.netty.handler.codec.quic.QuicStreamChannel;
+import io.netty.handler.codec.quic.QuicStreamResetException;
 import io.netty.pkitesting.X509Bundle;
 import java.io.Closeable;
 import java.net.InetSocketAddress;
@@ -89,15 +90,22 @@
     final Set<QuicChannel> connections = ConcurrentHashMap.newKeySet();
     private final Channel udp;
     private final BlockingQueue<Got> requests = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Got> heads = new LinkedBlockingQueue<>();
+    final BlockingQueue<String> cancelled = new LinkedBlockingQueue<>();
 
     H3Box(X509Bundle identity, int port, int streams) throws Exception {
+        this(identity, port, streams, 1 << 17);
+    }
+
+    /** {@code window}: bytes of a stream that it takes and no more. */
+    H3Box(X509Bundle identity, int port, int streams, int window) throws Exception {
         QuicSslContext context = QuicSslContextBuilder.forServer(identity.getKeyPair().getPrivate(), null,
             identity.getCertificatePath()).applicationProtocols(Http3.supportedApplicationProtocols())
             .build();
         udp = new Bootstrap().group(GROUP).channel(NioDatagramChannel.class)
             .handler(Http3.newQuicServerCodecBuilder().sslContext(context)
                 .maxIdleTimeout(20, TimeUnit.SECONDS).initialMaxData(1 << 20)
-                .initialMaxStreamDataBidirectionalRemote(1 << 17).initialMaxStreamsBidirectional(streams)
+                .initialMaxStreamDataBidirectionalRemote(window).initialMaxStreamsBidirectional(streams)
                 .tokenHandler(InsecureQuicTokenHandler.INSTANCE)
                 .handler(new ChannelInitializer<QuicChannel>() {
                     @Override
@@ -131,6 +139,15 @@
         return got;
     }
 
+    /** The next head, whether the rest comes or not. */
+    Got nextHead() throws InterruptedException {
+        Got got = heads.poll(20, TimeUnit.SECONDS);
+        if (got == null) {
+            throw new AssertionError("no head came");
+        }
+        return got;
+    }
+
     boolean isEmpty() {
         return requests.isEmpty();
     }
@@ -148,6 +165,7 @@
         @Override
         protected void channelRead(ChannelHandlerContext context, Http3HeadersFrame frame) {
             head = frame.headers();
+            heads.add(new Got(head, "", (QuicStreamChannel) context.channel()));
         }
 
         @Override
@@ -165,6 +183,9 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (cause instanceof QuicStreamResetException reset) {
+                cancelled.add(head.get("req-id") + " 0x" + Long.toHexString(reset.applicationProtocolCode()));
+            }
             context.close();
         }
     }
--- a/src/test/java/junctionhead/node/H3Client.java
+++ b/src/test/java/junctionhead/node/H3Client.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -27,6 +28,7 @@
 import io.netty.handler.codec.quic.QuicStreamResetException;
 import io.netty.handler.codec.quic.QuicStreamType;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.io.Closeable;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -54,6 +56,26 @@
                 ? "reset 0x" + Long.toHexString(reset.applicationProtocolCode()) : cause.toString());
         }
 
+        /** What tells of an end without an answer. */
+        ChannelInboundHandlerAdapter ends() {
+            return new ChannelInboundHandlerAdapter() {
+                @Override
+                public void channelRead(ChannelHandlerContext context, Object part) {
+                    ReferenceCountUtil.release(part);
+                }
+
+                @Override
+                public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+                    failed(cause);
+                }
+
+                @Override
+                public void channelInactive(ChannelHandlerContext context) {
+                    ended.complete("closed");
+                }
+            };
+        }
+
         /** {@code "200 body"}, {@code "reset 0x10b"} or {@code "closed"}. */
         String end() throws Exception {
             return ended.get(20, TimeUnit.SECONDS);
@@ -65,22 +87,41 @@
     final QuicChannel quic;
 
     H3Client(InetSocketAddress to, X509Certificate trust) throws Exception {
+        udp = socket(to, trust);
+        quic = dial(to).get(20, TimeUnit.SECONDS);
+    }
+
+    /** Begins so many handshakes from one socket, which is returned, and waits for none. */
+    static Channel dialOnly(InetSocketAddress to, X509Certificate trust, int connections)
+            throws InterruptedException {
+        Channel socket = socket(to, trust);
+        for (int i = 0; i < connections; i++) {
+            QuicChannel.newBootstrap(socket).handler(new Http3ClientConnectionHandler()).remoteAddress(to)
+                .connect();
+        }
+        return socket;
+    }
+
+    private static Channel socket(InetSocketAddress to, X509Certificate trust) throws InterruptedException {
         var context = QuicSslContextBuilder.forClient().trustManager(trust)
             .applicationProtocols(Http3.supportedApplicationProtocols()).build();
-        udp = new Bootstrap().group(GROUP).channel(NioDatagramChannel.class)
+        return new Bootstrap().group(GROUP).channel(NioDatagramChannel.class)
             .handler(Http3.newQuicClientCodecBuilder()
                 .sslEngineProvider(q -> context.newEngine(q.alloc(), "box.test", to.getPort()))
                 .maxIdleTimeout(20, TimeUnit.SECONDS).initialMaxData(1 << 20)
                 .initialMaxStreamDataBidirectionalLocal(1 << 17).activeMigration(true)
                 .activeConnectionIdLimit(4).build())
             .bind(new InetSocketAddress("127.0.0.1", 0)).sync().channel();
-        quic = QuicChannel.newBootstrap(udp).handler(new ChannelInboundHandlerAdapter() {
+    }
+
+    private Future<QuicChannel> dial(InetSocketAddress to) {
+        return QuicChannel.newBootstrap(udp).handler(new ChannelInboundHandlerAdapter() {
             @Override
             public void handlerAdded(ChannelHandlerContext context) {
                 context.pipeline().addLast(new Http3ClientConnectionHandler(new Control(), null, null, null,
                     true), new Ends());
             }
-        }).remoteAddress(to).connect().get(20, TimeUnit.SECONDS);
+        }).remoteAddress(to).connect();
     }
 
     private final class Control extends ChannelInboundHandlerAdapter {
@@ -156,20 +197,10 @@
             .writeBytes(fields);
         Got got = new Got();
         QuicStreamChannel stream = quic.createStream(QuicStreamType.BIDIRECTIONAL,
-            new ChannelInboundHandlerAdapter() {
-                @Override
-                public void channelRead(ChannelHandlerContext context, Object part) {
-                    ReferenceCountUtil.release(part);
-                }
-
-                @Override
-                public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-                    got.failed(cause);
-                }
-
+            new ChannelInitializer<QuicStreamChannel>() {
                 @Override
-                public void channelInactive(ChannelHandlerContext context) {
-                    got.ended.complete("closed");
+                protected void initChannel(QuicStreamChannel channel) {
+                    channel.pipeline().addLast(got.ends());
                 }
             }).get(20, TimeUnit.SECONDS);
         got.stream = stream;
@@ -216,12 +247,12 @@
 
             @Override
             public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-                got.failed(cause);
+                context.fireExceptionCaught(cause);
             }
 
             @Override
-            public void channelInactive(ChannelHandlerContext context) {
-                got.ended.complete("closed");
+            public void handlerAdded(ChannelHandlerContext context) {
+                context.pipeline().addLast(got.ends());
             }
         }).get(20, TimeUnit.SECONDS);
         got.stream = stream;
--- a/src/test/java/junctionhead/node/Http3Fixture.java
+++ b/src/test/java/junctionhead/node/Http3Fixture.java
@@ -8,6 +8,8 @@
 import java.security.cert.X509Certificate;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import junctionhead.config.Config;
 import junctionhead.http3.BoxPlan;
 import junctionhead.http3.Http3;
@@ -21,8 +23,10 @@
     static final X509Bundle THEIRS = Certificates.selfSigned();
 
     final List<H3Client> open = new ArrayList<>();
-    Sessions.Limits sessions = new Sessions.Limits(50, 50, 20, 1 << 20, 0);
+    Sessions.Limits sessions = new Sessions.Limits(50, 50, 20, 1 << 20, 0,
+        TimeUnit.SECONDS.toNanos(20));
     int streams = 100;
+    int connect = 500_000;                          // µs
     String http3;                                   // the upstream's address
 
     @Override
@@ -38,7 +42,11 @@
     }
 
     Config with(Http3 told) throws IOException {
-        Config plain = config(1024, settings(), 0);
+        Map<String, Object> settings = settings();
+        @SuppressWarnings("unchecked")
+        Map<String, Object> limits = (Map<String, Object>) settings.get("Limits");
+        limits.put("DialTimeout", connect);
+        Config plain = config(1024, settings, 0);
         return new Config(plain.name(), plain.listen(), plain.discovery(), plain.seed(), plain.connections(),
             plain.known(), plain.boot(), told);
     }
--- a/src/test/java/junctionhead/node/Http3FrontTest.java
+++ b/src/test/java/junctionhead/node/Http3FrontTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.Channel;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http3.Http3Headers;
 import java.net.URI;
 import java.net.http.HttpRequest;
@@ -17,6 +20,8 @@
 import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 import junctionhead.http3.Sessions;
+import junctionhead.rig.RelayScript;
+import junctionhead.rig.UdpRelay;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -112,10 +117,14 @@
         H3Client client = client();
         H3Client.Got got = client.send(breaks.apply(H3Client.head("POST", "book", "r1")), "seat", true);
         assertEquals("reset 0x10e", got.end());
-        // The connection goes on, and nothing of the other came before this.
-        H3Client.Got next = client.get("r2");
+        nextIsServed(client);
+    }
+
+    /** The connection goes on, and nothing of another request came to the upstream before this one. */
+    private void nextIsServed(H3Client client) throws Exception {
+        H3Client.Got next = client.get("next");
         FakeUpstream.Got asked = upstream.next();
-        assertEquals("r2", asked.header("req-id"));
+        assertEquals("next", asked.header("req-id"));
         asked.answer(200, "", "ok");
         assertEquals("200 ok", next.end());
     }
@@ -187,11 +196,67 @@
         H3Client.Got half = client.send(H3Client.head("POST", "book", "r1").add("content-length", "4"), "se",
             false);
         half.stream.shutdown(0x10c).sync();
-        H3Client.Got next = client.get("r2");
+        nextIsServed(client);
+    }
+
+    /** Before our answer, in the middle of it and after it: one run, and the connection goes on. */
+    @Test
+    void aClientThatCancelsIsNoSecondRunWhenever() throws Exception {
+        start();
+        H3Client client = client();
+        H3Client.Got before = client.book("before");
         FakeUpstream.Got asked = upstream.next();
-        assertEquals("r2", asked.header("req-id"));
-        asked.answer(200, "", "ok");
-        assertEquals("200 ok", next.end());
+        before.stream.shutdown(0x10c).sync();
+        asked.answer(200, "", "nobody");
+        H3Client.Got within = client.book("within");
+        FakeUpstream.Got second = upstream.next();
+        within.stream.shutdownInput(0x10c).sync();
+        second.answer(200, "", "y".repeat(60_000));
+        H3Client.Got after = client.book("after");
+        upstream.next().answer(200, "", "done");
+        assertEquals("200 done", after.end());
+        after.stream.shutdown(0x10c).sync();
+        nextIsServed(client);
+        assertTrue(upstream.isEmpty());
+        String told = module.next();
+        for (int i = 0; i < 3; i++) {               // one outcome each, and nothing was tried again
+            assertTrue(told.startsWith("OK"), told);
+            told = module.next();
+        }
+        assertTrue(told.startsWith("OK"), told);
+    }
+
+    @Test
+    void aRequestThatDripsIsToldSo() throws Exception {
+        start();
+        H3Client client = client();
+        assertEquals("408 too slow", client.send(H3Client.head("POST", "book", "r1")
+            .add("content-length", "4"), "se", false).end());
+        nextIsServed(client);
+    }
+
+    /** Handshakes that are begun and never go on, as with forged addresses (RFC 9000, section 21.3). */
+    @Test
+    void aFloodOfInitialsIsBoundedAndKeepsNobodyOut() throws Exception {
+        sessions = new Sessions.Limits(50, 50, 10, 1 << 20, 0, TimeUnit.MINUTES.toNanos(5));
+        start();
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try (UdpRelay relay = new UdpRelay(group.next(), node.beside(),
+                new RelayScript(1, RelayScript.Faults.NONE))) {
+            relay.hole(UdpRelay.Hole.TO_CLIENT);
+            Channel bad = H3Client.dialOnly(relay.open(), OURS.getCertificatePath()[0], 40);
+            while (relay.counts()[0] < 40) {
+                Thread.onSpinWait();
+            }
+            relay.counts();                         // behind the last of them on its loop
+            nextIsServed(client());
+            try (Client plain = new Client(at)) {
+                assertTrue(plain.send(SAFE).answerAfter(upstream).startsWith("HTTP/1.1 200"));
+            }
+            bad.close().sync();
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
     }
 
     @Test
@@ -208,16 +273,13 @@
             }
         }
         assertEquals("close 0x107", bad.event("close"));
-        H3Client.Got next = good.get("r2");
-        FakeUpstream.Got asked = upstream.next();
-        assertEquals("r2", asked.header("req-id"));
-        asked.answer(200, "", "ok");
-        assertEquals("200 ok", next.end());
+        nextIsServed(good);
     }
 
     @Test
     void manyConnectionsProveTheirAddressAndTheLastIsTurnedAway() throws Exception {
-        sessions = new Sessions.Limits(4, 10, 20, 1 << 20, TimeUnit.MINUTES.toNanos(5));
+        sessions = new Sessions.Limits(4, 10, 20, 1 << 20, TimeUnit.MINUTES.toNanos(5),
+            TimeUnit.MINUTES.toNanos(5));
         start();
         List<H3Client> in = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
@@ -277,6 +339,9 @@
         CountDownLatch taken = new CountDownLatch(1);
         onLoop(taken::countDown);
         assertTrue(taken.await(20, TimeUnit.SECONDS));
+        synchronized (log) {
+            assertTrue(log.contains("http3: new connections are shown another certificate"), log::toString);
+        }
         H3Client young = client(fresh.getCertificatePath()[0], node.beside());
         H3Client.Got second = young.get("r2");
         upstream.next().answer(200, "", "new");
--- a/src/test/java/junctionhead/node/Http3UpstreamTest.java
+++ b/src/test/java/junctionhead/node/Http3UpstreamTest.java
@@ -4,8 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import junctionhead.core.Addresses;
+import junctionhead.rig.RelayScript;
+import junctionhead.rig.UdpRelay;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -154,6 +161,133 @@
         assertEquals("RESET", told(got -> got.answer("y".repeat(70_000))));
     }
 
+    /** It is blocked by the box's window when the box ends it: its last byte has never left. */
+    @Test
+    void aRequestThatIsNotWholeNeverRan() throws Exception {
+        box = new H3Box(THEIRS, 0, 100, 1_000);
+        http3 = box.address();
+        start();
+        try (Client client = new Client(at)) {
+            client.send(post("book", "Req-Deadline-Ms: 20000\r\n", "seat".repeat(1_000)));
+            box.nextHead().stream.shutdownInput(0x10c);         // STOP_SENDING alone
+            assertEquals("CONNECT_FAILED", module.next());
+            assertEquals(502, client.status());
+        }
+        assertTrue(box.isEmpty());
+    }
+
+    @Test
+    void whatIsGivenUpIsCancelledAtTheUpstreamAndMayHaveRun() throws Exception {
+        module.timeout = 300_000;
+        startWithBox(100);
+        try (Client client = plain(this, "r1")) {
+            H3Box.Got got = box.next();
+            assertEquals("TIMEOUT", module.next());
+            assertEquals(502, client.status());
+            got.answer("too late");                 // nobody hears it
+            assertEquals(200, Integer.parseInt(next(client).split(" ")[1]));
+        }
+    }
+
+    private String next(Client client) throws Exception {
+        client.send(post("book", "Req-Deadline-Ms: 20000\r\n", "seat").replace("r1", "r2"));
+        box.next().answer("in time");
+        String head = client.answer();
+        assertEquals("in time", new String(client.body, java.nio.charset.StandardCharsets.US_ASCII));
+        return head;
+    }
+
+    @Test
+    void whereNoStreamIsLeftNothingWasSent() throws Exception {
+        startWithBox(1);
+        H3Client client = client();
+        List<H3Box.Got> held = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {               // one for each of the two connections
+            client.book("r" + i);
+            held.add(box.next());
+        }
+        assertEquals("502 failed", client.book("r2").end());
+        assertEquals("NOT_SENT", module.next());
+        assertTrue(box.isEmpty());
+        held.forEach(h -> h.answer("ok"));
+    }
+
+    /** More requests wait for the handshake than the upstream allows: no number of a stream is used up. */
+    @Test
+    void thoseBeyondTheLimitThatWaitedWereNotSentAndTheRestGoesOn() throws Exception {
+        connect = 15_000_000;
+        box = new H3Box(THEIRS, 0, 3);
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try (UdpRelay relay = new UdpRelay(group.next(), new InetSocketAddress("127.0.0.1", box.port()),
+                new RelayScript(1, RelayScript.Faults.NONE))) {
+            relay.hole(UdpRelay.Hole.TO_SERVER);
+            http3 = Addresses.text(relay.open());
+            start();
+            H3Client client = client();
+            List<H3Client.Got> gots = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {
+                gots.add(client.get("r" + i));
+                module.requests.take();
+            }
+            relay.hole(UdpRelay.Hole.NONE);         // the handshake goes on with its next attempt
+            for (int i = 0; i < 3; i++) {
+                H3Box.Got asked = box.next();
+                asked.answer(asked.field("req-id"));
+            }
+            int served = 0;
+            for (H3Client.Got got : gots) {
+                served += got.end().startsWith("200 ") ? 1 : 0;
+            }
+            assertEquals(3, served);
+            for (int i = 0; i < 20; i++) {
+                H3Client.Got got = client.get("n" + i);
+                H3Box.Got asked = box.next();
+                asked.answer(asked.field("req-id"));
+                assertEquals("200 n" + i, got.end());
+            }
+            assertEquals(1, box.connections.size());
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
+    /** Rule 3: the connection stands, and nothing new is sent on it after the grace. */
+    @Test
+    void aDrainedUpstreamGetsNothingNewOnItsConnection() throws Exception {
+        startWithBox(100);
+        H3Client client = client();
+        H3Client.Got held = client.book("held");
+        H3Box.Got before = box.next();
+        onLoop(() -> module.actions.fetchList());
+        discovery.next().answer(200, "", list(42, true, "terminating"));
+        assertEquals("COMPLETE [s1=DRAINING]", module.next());
+        long told = System.nanoTime();
+        String end = "200";
+        for (int i = 0; end.startsWith("200"); i++) {
+            H3Client.Got got = client.get("r" + i);
+            while (box.isEmpty() && !got.ended.isDone()) {
+                Thread.onSpinWait();
+            }
+            if (!box.isEmpty()) {
+                assertTrue(System.nanoTime() - told < TimeUnit.SECONDS.toNanos(10));
+                box.next().answer("ok");
+            }
+            end = got.end();
+        }
+        assertEquals("502 failed", end);
+        String last = module.next();
+        while (last.startsWith("OK")) {
+            last = module.next();
+        }
+        assertEquals("NOT_SENT", last);
+        for (int i = 0; i < 5; i++) {
+            assertEquals("502 failed", client.get("n" + i).end());
+        }
+        assertTrue(box.isEmpty());
+        before.answer("done");                      // what was there before goes on to its end
+        assertEquals("200 done", held.end());
+    }
+
     @Test
     void aGoAwayLetsWhatItCoversFinish() throws Exception {
         startWithBox(100);
