--- a/src/main/java/junctionhead/Balance.java
+++ b/src/main/java/junctionhead/Balance.java
@@ -464,9 +464,9 @@
 
     // Moves the level by how far the strain is from what the tier on the edge may cause. Guards against
     // queues in which all wait and all are late. Each balancer turns away a share of what it sees: a limit
-    // on attempts in flight, which for most balancers is about one, refused most of a calm day. What the strain of
-    // now adds by itself goes with it: by steps alone 14 balancers met a loss of 30 % of the fleet 4 s too late, then
-    // refused all but the dearest for 8 s, most of it with the servers idle again.
+    // on attempts in flight, which for most balancers is about one, refused most of a calm day. What the
+    // strain of now adds by itself goes with it: by steps alone 14 balancers met a loss of 30 % of the fleet
+    // 4 s too late, then refused all but the dearest for 8 s, most of it with the servers idle again.
     private void steer(double seconds) {
         int edge = Math.min(tiers.length - 1, (int) level);
         double worth = tiers[edge] / tiers[tiers.length - 1];
--- a/src/main/java/junctionhead/connections/IdleRest.java
+++ b/src/main/java/junctionhead/connections/IdleRest.java
@@ -1,10 +1,10 @@
 package junctionhead.connections;
 
 /**
- * How long idle connections to one upstream rest. One stays for longer: the next request will want it, and a new
- * handshake costs. Spare ones, which only requests at the same time had use for, go soon: an upstream holds few, and
- * those of 14 balancers that nobody uses keep out the requests of the others. Decides only: no clock, no socket.
- * Immutable. Times are in µs.
+ * How long idle connections to one upstream rest. One stays for longer: the next request will want it, and
+ * a new handshake costs. Spare ones, which only requests at the same time had use for, go soon: an upstream
+ * holds few, and those of 14 balancers that nobody uses keep out the requests of the others. Decides only:
+ * no clock, no socket. Immutable. Times are in µs.
  */
 public final class IdleRest {
     private static final double SHARE = 0.5;        // of the time after which upstreams close an idle one
--- a/src/test/java/junctionhead/FleetModel.java
+++ b/src/test/java/junctionhead/FleetModel.java
@@ -13,9 +13,9 @@
 import junctionhead.Policy.State;
 
 /**
- * Many instances of the module in virtual time, before servers that serve one request at a time, in order, and turn
- * away what finds their waiting room full; clients try again after a refusal. What it counts, it counts over all
- * instances.
+ * Many instances of the module in virtual time, before servers that serve one request at a time, in order,
+ * and turn away what finds their waiting room full; clients try again after a refusal. What it counts, it
+ * counts over all instances.
  */
 final class FleetModel {
     private static final long STEP = 5_000;
@@ -57,9 +57,9 @@
         servers.forEach(s -> boxes.computeIfAbsent(s.id(), id -> new Box()).server = s);
         for (int i = 0; i < settings.balancers(); i++) {
             Policy.Settings s = settings;
-            Harness harness = new Harness(new Policy.Settings(s.balancers(), i, s.zone(), s.classes(), s.tenants(),
-                s.overShareWorth(), s.goal(), s.prices(), s.worthByWork(), s.discovery(), s.reports(), s.warmKeys(),
-                s.limits(), s.bounds(), s.tick()), random.nextLong());
+            Harness harness = new Harness(new Policy.Settings(s.balancers(), i, s.zone(), s.classes(),
+                s.tenants(), s.overShareWorth(), s.goal(), s.prices(), s.worthByWork(), s.discovery(),
+                s.reports(), s.warmKeys(), s.limits(), s.bounds(), s.tick()), random.nextLong());
             balancers.add(harness.list(ListKind.PERSISTED, servers));
             seen.add(0);
             sentOut.add(new ArrayList<>());
--- a/src/test/java/junctionhead/FleetTest.java
+++ b/src/test/java/junctionhead/FleetTest.java
@@ -20,11 +20,13 @@
     private static final double RATE = 0.7 * SERVERS * 1e6 / WORK;
 
     private static Policy.Settings settings() {
-        RequestClass order = new RequestClass(Effect.UNSAFE, Scope.ALL, 0, 600_000, 2_500_000, 0, 3, 0.2, false);
+        RequestClass order =
+            new RequestClass(Effect.UNSAFE, Scope.ALL, 0, 600_000, 2_500_000, 0, 3, 0.2, false);
         RequestClass urgent =
             new RequestClass(Effect.KEYED, Scope.CELL, 1_000_000, 250_000, 500_000, 0, 9, 0.25, false);
-        return new Policy.Settings(14, 0, 0, List.of(order, urgent), List.of(), 0.1, new Policy.Goal(1, 0, 0, 0),
-            new Policy.Prices(0, 0), true, Policy.Discovery.PUSH, Policy.Reports.NONE, false,
+        return new Policy.Settings(14, 0, 0, List.of(order, urgent), List.of(), 0.1,
+            new Policy.Goal(1, 0, 0, 0), new Policy.Prices(0, 0), true, Policy.Discovery.PUSH,
+            Policy.Reports.NONE, false,
             new Policy.Limits(3, true, true, true, 120_000, 0),
             new Policy.Bounds(8_000, 1_000_000, 10_000_000, 0.3, 6_000_000, 3, 1_000_000, 0), 2_000);
     }
@@ -51,8 +53,9 @@
         double before = (calm[0] + 3.0 * calm[1]) / (calm[2] + 3.0 * calm[3]);
         double since = (fleet.inTime[0] - calm[0] + 3.0 * (fleet.inTime[1] - calm[1]))
             / (fleet.asked[0] - calm[2] + 3.0 * (fleet.asked[1] - calm[3]));
-        String figures = "worth in time before " + before + ", since " + since + ", refused " + fleet.refused[0]
-            + " and " + fleet.refused[1] + " of " + fleet.asked[0] + " and " + fleet.asked[1];
+        String figures = "worth in time before " + before + ", since " + since + ", refused "
+            + fleet.refused[0] + " and " + fleet.refused[1] + " of " + fleet.asked[0]
+            + " and " + fleet.asked[1];
         assertTrue(before > 0.9 && since > 0.9, figures);
     }
 }
--- a/src/test/java/junctionhead/LearnedTest.java
+++ b/src/test/java/junctionhead/LearnedTest.java
@@ -380,7 +380,7 @@
 
     @Test
     void aKeyedRequestGetsItsCopyWithinItsCellBeforeItsAim() {
-        // Each of 14 balancers sees a small part of what stands in a queue: 0.79 of the dearest class was served.
+        // One of 14 balancers sees a small part of what stands in a queue: 0.79 of the class was served.
         Harness harness = harness(6, Harness.kind(Effect.KEYED, Scope.CELL));
         serve(harness, 60, 20_000, Map.of());
         Harness.Sent first = harness.request("late", 0);
