--- a/src/test/java/junctionhead/FleetModel.java
+++ b/src/test/java/junctionhead/FleetModel.java
@@ -26,6 +26,7 @@
     private static final class Box {
         final ArrayDeque<Job> queue = new ArrayDeque<>();
         Server server;
+        final ArrayDeque<Long> sends = new ArrayDeque<>();  // of the last fall window, while it is cold
         double speed = 1;
         long freeAt;
     }
@@ -38,6 +39,8 @@
     final int[] asked;
     final int[] inTime;
     final int[] refused;
+    double worstCold;           // most sent to a cold server in a fall window, in parts of what rule 4 allows
+    int coldSends;
     long now = Harness.START;
     private final Policy.Settings settings;
     private final SplittableRandom random;
@@ -46,20 +49,28 @@
     private final Map<String, Try> open = new HashMap<>();
     private final List<Integer> seen = new ArrayList<>();
     private final List<List<Job>> sentOut = new ArrayList<>();
+    private final Map<String, Double> slowed = new HashMap<>();
     private int requests;
+    private long work = 1;
 
     FleetModel(Policy.Settings settings, List<Server> servers, long seed) {
+        this(settings, settings.balancers(), servers, seed);
+    }
+
+    /** With another number of balancers than the settings tell. */
+    FleetModel(Policy.Settings settings, int instances, List<Server> servers, long seed) {
         this.settings = settings;
         random = new SplittableRandom(seed);
         asked = new int[settings.classes().size()];
         inTime = new int[asked.length];
         refused = new int[asked.length];
         servers.forEach(s -> boxes.computeIfAbsent(s.id(), id -> new Box()).server = s);
-        for (int i = 0; i < settings.balancers(); i++) {
+        for (int i = 0; i < instances; i++) {
             Policy.Settings s = settings;
-            Harness harness = new Harness(new Policy.Settings(s.balancers(), i, s.zone(), s.classes(),
-                s.tenants(), s.overShareWorth(), s.goal(), s.prices(), s.worthByWork(), s.discovery(),
-                s.reports(), s.warmKeys(), s.limits(), s.bounds(), s.tick()), random.nextLong());
+            Harness harness = new Harness(new Policy.Settings(s.balancers(), i % s.balancers(), s.zone(),
+                s.classes(), s.tenants(), s.overShareWorth(), s.goal(), s.prices(), s.worthByWork(),
+                s.discovery(), s.reports(), s.warmKeys(), s.limits(), s.bounds(), s.tick()),
+                random.nextLong());
             balancers.add(harness.list(ListKind.PERSISTED, servers));
             seen.add(0);
             sentOut.add(new ArrayList<>());
@@ -69,11 +80,13 @@
     /** A change that all balancers hear of at once. */
     void change(List<Server> servers) {
         servers.forEach(s -> boxes.computeIfAbsent(s.id(), id -> new Box()).server = s);
+        boxes.values().forEach(this::speed);
         balancers.forEach(b -> b.list(ListKind.PARTIAL, servers));
     }
 
-    /** Lets so much time pass, with {@code rate} new requests a second of {@code work} µs each on average. */
+    /** Lets time pass, with {@code rate} new requests a second of {@code work} µs each on average. */
     void run(long time, double rate, double[] shares, long work) {
+        this.work = work;
         long until = now + time;
         double next = now;
         while (now < until) {
@@ -125,6 +138,31 @@
         }
     }
 
+    // Rule 4, as a budget over any window: all that reaches the server counts, also what it turns away.
+    private void count(Box box, long at) {
+        if (warmth(box) < 1) {
+            box.sends.add(at);
+            while (box.sends.peekFirst() <= at - settings.bounds().fallWindow()) {
+                box.sends.pollFirst();
+            }
+            double allowed = settings.bounds().overloadFactor() * settings.bounds().fallWindow() / work
+                * box.speed * warmth(box);
+            worstCold = Math.max(worstCold, box.sends.size() / allowed);
+            coldSends++;
+        }
+    }
+
+    /** Servers so named need so many times as long for everything, from here on. */
+    void slow(String prefix, double times) {
+        slowed.put(prefix, times);
+        boxes.values().forEach(this::speed);
+    }
+
+    private void speed(Box box) {
+        slowed.forEach((prefix, times) ->
+            box.speed = box.server.id().startsWith(prefix) ? 1 / times : box.speed);
+    }
+
     private double warmth(Box box) {
         long start = box.server.startedAt();
         double age = start == 0 ? 1 : (double) (now - start) / settings.bounds().rampTime();
@@ -139,6 +177,7 @@
             Harness.Sent s = b.sends.get(seen.get(number));
             Box box = boxes.get(s.server);
             Try t = open.get(s.request);
+            count(box, s.at);
             if (box.server.state() != State.UP || box.queue.size() >= ROOM) {
                 b.end(s, Outcome.FULL);
             } else {
--- a/src/test/java/junctionhead/FleetTest.java
+++ b/src/test/java/junctionhead/FleetTest.java
@@ -10,11 +10,13 @@
 import junctionhead.Policy.Server;
 import junctionhead.Policy.State;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Fourteen balancers before sixty servers, counted over all of them. */
 class FleetTest {
     private static final double[] SHARES = {0.75, 0.25};
+    private static final int BALANCERS = 14;
     private static final int SERVERS = 60;
     private static final long WORK = 30_000;
     private static final double RATE = 0.7 * SERVERS * 1e6 / WORK;
@@ -24,7 +26,7 @@
             new RequestClass(Effect.UNSAFE, Scope.ALL, 0, 600_000, 2_500_000, 0, 3, 0.2, false);
         RequestClass urgent =
             new RequestClass(Effect.KEYED, Scope.CELL, 1_000_000, 250_000, 500_000, 0, 9, 0.25, false);
-        return new Policy.Settings(14, 0, 0, List.of(order, urgent), List.of(), 0.1,
+        return new Policy.Settings(BALANCERS, 0, 0, List.of(order, urgent), List.of(), 0.1,
             new Policy.Goal(1, 0, 0, 0), new Policy.Prices(0, 0), true, Policy.Discovery.PUSH,
             Policy.Reports.NONE, false,
             new Policy.Limits(3, true, true, true, 120_000, 0),
@@ -58,4 +60,23 @@
             + " and " + fleet.asked[1];
         assertTrue(before > 0.9 && since > 0.9, figures);
     }
+
+    /** Rule 4 over all balancers, told their number rightly or wrong by a third; room for works that vary. */
+    @ParameterizedTest
+    @CsvSource({"14, 0.4", "14, 0.7", "14, 0.95", "19, 0.7", "10, 0.7", "19, 0.95"})
+    void noColdServerIsPushedOverByAllBalancersTogether(int balancers, double load) {
+        double rate = load * SERVERS * 1e6 / WORK;
+        for (int seed = 1; seed <= 3; seed++) {
+            FleetModel fleet =
+                new FleetModel(settings(), balancers, servers("s", State.UP, 0, 0, SERVERS), seed);
+            fleet.run(4_000_000, rate, SHARES, WORK);
+            fleet.change(servers("s", State.DRAINING, 0, 0, 20));
+            fleet.slow("new", 1.5);
+            fleet.run(1_500_000, rate, SHARES, WORK);
+            fleet.change(servers("new", State.UP, fleet.now, 0, 20));
+            fleet.run(7_000_000, rate, SHARES, WORK);
+            assertTrue(fleet.worstCold <= 0.8, balancers + " at " + load + ": " + fleet.worstCold);
+            assertTrue(fleet.coldSends > 100, "they are used: " + fleet.coldSends);
+        }
+    }
 }
