--- a/src/main/java/junctionhead/Balance.java
+++ b/src/main/java/junctionhead/Balance.java
@@ -843,7 +843,7 @@
                 sweep(r, now, out);
             }
         }
-        if (settings.limits().mayDuplicate() && level < hedgeLevel) {
+        if (settings.limits().mayDuplicate() && level + lean < hedgeLevel) {
             boolean crowded = turnedAway > HEDGE_FULL * arrivals;
             open.values().forEach(r -> hedge(r, crowded, now, out));
         }
--- a/src/test/java/junctionhead/LearnedTest.java
+++ b/src/test/java/junctionhead/LearnedTest.java
@@ -393,6 +393,34 @@
         assertEquals(List.of("late/0"), harness.cancels);
     }
 
+    @Test
+    void noCopyIsMadeWhileTheStrainOfNowTurnsRequestsAway() {
+        // The level alone was asked, which rises later: copies went on while requests were refused.
+        Harness harness = harness(6, Harness.kind(Effect.KEYED, Scope.CELL));
+        serve(harness, 60, 20_000, Map.of());
+        for (int i = 0; i < 100 && refusedUnsent(harness) < 5; i++) {
+            harness.pass(40_000);
+            harness.request("full" + i, 0);
+            for (int j = 0; j < harness.sentFor("full" + i).size(); j++) {
+                harness.end(harness.sentFor("full" + i).get(j), Outcome.FULL);
+            }
+        }
+        assertEquals(5, refusedUnsent(harness), "the strain is high enough");
+        harness.pass(60_000);               // the servers that were full have rested
+        Harness.Sent sent = null;
+        for (int i = 0; sent == null; i++) {
+            sent = harness.request("late" + i, 0);
+            assertTrue(i < 200, "some are taken");
+        }
+        harness.pass(60_000);
+        assertEquals(1, harness.sentFor(sent.request).size());
+    }
+
+    private static long refusedUnsent(Harness harness) {
+        return harness.finals.entrySet().stream()
+            .filter(e -> e.getValue().equals("refused") && harness.sentFor(e.getKey()).isEmpty()).count();
+    }
+
     @Test
     void hedgesAreBoundedAndRestWhileAttemptsAreTurnedAway() {
         // Copies at a full fleet fed the overload: Kano lost 0.18 of its figure to them.
