--- a/src/main/java/junctionhead/config/Config.java
+++ b/src/main/java/junctionhead/config/Config.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Objects;
 import junctionhead.SettingsReader;
 import junctionhead.connections.Limits;
 import junctionhead.core.Addresses;
@@ -21,17 +22,20 @@
 /**
  * What a balancer is told at its start, whichever form it stands in; {@code discovery} is null where the
  * list of
- * upstreams is {@code known} from here alone, {@code http3} where it is off.
+ * upstreams is {@code known} from here alone, {@code http3} where it is off, {@code management} where
+ * operators have no address to call at; {@code inherited}: clients' listening socket is descriptor 0, handed
+ * down by whoever started this process.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-        Limits connections, Targets known, SettingsReader.Boot boot, Http3 http3) {
+        Limits connections, Targets known, SettingsReader.Boot boot, Http3 http3,
+        InetSocketAddress management, boolean inherited) {
     private static final Path LIMITS = Path.of("/proc/self/limits");
     private static final int SOCKETS = 1024;        // assumed where neither file nor system tells
 
     /** One without HTTP/3. */
     public Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
             Limits connections, Targets known, SettingsReader.Boot boot) {
-        this(name, listen, discovery, seed, connections, known, boot, null);
+        this(name, listen, discovery, seed, connections, known, boot, null, null, false);
     }
 
     /** What is wrong with the configuration, in one line. */
@@ -49,6 +53,9 @@
         if (!fresh.listen.equals(listen)) {
             waiting.add("listener");
         }
+        if (!Objects.equals(fresh.management, management)) {
+            waiting.add("management");
+        }
         if (!fresh.connections.equals(connections)) {
             waiting.add("connections");
         }
@@ -94,6 +101,8 @@
         InetSocketAddress listen = address("listen", told(environment, "ROUTER_LISTEN", json, "listen"));
         InetSocketAddress discovery =
             address("discovery", told(environment, "ROUTER_DISCOVERY", json, "discovery"));
+        String door = optional(environment, "ROUTER_MANAGEMENT", json, "management");
+        InetSocketAddress management = door == null ? null : address("management", door);
         Object settings = json.get("settings");
         if (!(settings instanceof Map)) {
             throw new Bad("the configuration has no settings");
@@ -115,20 +124,39 @@
         int told = sockets instanceof Number ? ((Number) sockets).intValue() : Integer.MAX_VALUE;
         int most = Math.min(told, most());
         return new Config(name, listen, discovery, seed(json.get("seed")),
-            Limits.of(most == Integer.MAX_VALUE ? SOCKETS : most), known, boot);
+            Limits.of(most == Integer.MAX_VALUE ? SOCKETS : most), known, boot, null, management,
+            inherits(environment.get("ROUTER_INHERITED_FD")));
+    }
+
+    // The JVM hands on descriptor 0 and no other.
+    private static boolean inherits(String descriptor) {
+        if (descriptor == null || descriptor.isBlank()) {
+            return false;
+        }
+        if (!descriptor.strip().equals("0")) {
+            throw new Bad("ROUTER_INHERITED_FD: only descriptor 0 can be taken over: '" + descriptor + "'");
+        }
+        return true;
     }
 
     private static String told(Map<String, String> environment, String variable, Map<String, Object> json,
             String field) {
+        String value = optional(environment, variable, json, field);
+        if (value != null) {
+            return value;
+        }
+        throw new Bad(variable + " is not set, and the configuration has no " + field);
+    }
+
+    // Null where neither tells.
+    private static String optional(Map<String, String> environment, String variable, Map<String, Object> json,
+            String field) {
         String value = environment.get(variable);
         Object other = json.get(field);
         if (value != null && !value.isBlank()) {
             return value;
         }
-        if (other instanceof String && !((String) other).isBlank()) {
-            return (String) other;
-        }
-        throw new Bad(variable + " is not set, and the configuration has no " + field);
+        return other instanceof String text && !text.isBlank() ? text : null;
     }
 
     private static InetSocketAddress address(String what, String text) {
--- a/src/main/java/junctionhead/config/toml/ConfigFile.java
+++ b/src/main/java/junctionhead/config/toml/ConfigFile.java
@@ -52,7 +52,8 @@
         return config;
     }
 
-    private record Node(String name, InetSocketAddress listen, long seed, int balancers, int rank,
+    private record Node(String name, InetSocketAddress listen, InetSocketAddress management,
+            long seed, int balancers, int rank,
         String zone) { }
 
     private record Members(Source source, InetSocketAddress address, Policy.Discovery mode, long askWithin,
@@ -113,7 +114,7 @@
         put(wire, "Stats.How", "answers");
         SettingsReader.Boot boot = boot(top, wire, problems);
         return new Config(node.name(), node.listen(), members.address(), node.seed(), connections,
-            known(members, boot), boot, http3);
+            known(members, boot), boot, http3, node.management(), false);
     }
 
     // What the checks above let through and the model does not take: told like any other problem.
@@ -138,6 +139,7 @@
         long drawn = new SplittableRandom().nextLong(1, 1L << 50);
         return new Node(t.text("name", "honeyspindle"), address(t, "listen", t.text("listen",
             "127.0.0.1:8080")),
+            t.has("management") ? address(t, "management", t.text("management", null)) : null,
             (long) t.number("seed", drawn, 0, 1e15), (int) t.number("balancers", 1, 1, 10_000),
             (int) t.number("rank", 0, 0, 9_999), t.name("zone", "default"));
     }
--- a/src/main/java/junctionhead/front/http1/Client.java
+++ b/src/main/java/junctionhead/front/http1/Client.java
@@ -194,7 +194,7 @@
         server.room().give(charged);
         charged = 0;
         boolean more = receiving || problem != null || decoder.holdsMore();
-        boolean stay = server.budget().answered(lease, keep && !server.isStopping(), more,
+        boolean stay = server.budget().answered(lease, keep && server.keeps(), more,
             System.nanoTime());
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
         if (type != null) {
--- a/src/main/java/junctionhead/front/http1/ClientServer.java
+++ b/src/main/java/junctionhead/front/http1/ClientServer.java
@@ -33,6 +33,7 @@
 import junctionhead.core.Reply;
 import junctionhead.core.Room;
 import junctionhead.http1.Http1Fields;
+import junctionhead.service.LifeCycle;
 
 /** The side to the clients: takes connections, hands requests over, and words each one's final answer. */
 public final class ClientServer {
@@ -40,6 +41,7 @@
     private static final int ACCEPTS = 4;           // at once: between them the budget is asked again
     private static final long LOOK_MS = 200;        // between looks at what takes too long
     private static final long AGAIN_MS = 20;        // while new connections wait to be accepted
+    private static final int CLOSES = 8;            // of those at rest, in one turn of the loop
     private static final int STRANGERS = 8;         // taken in every so often during a rehearsal
 
     private final EventLoop loop;
@@ -49,9 +51,10 @@
     private final Consumer<String> log;
     private final Room room;
     private final Set<Client> clients = new LinkedHashSet<>();  // the oldest first
+    private final LifeCycle life;
     private Channel listener;
-    private boolean ready;
-    private boolean stopping;
+    private boolean shared;                         // the listener is not this process's own
+    private boolean winding;                        // some at rest are about to be closed
     private boolean makingRoom;
     private int strangers;                          // taken in during a rehearsal since the last look
     private boolean again;                          // room will be looked for again soon
@@ -59,8 +62,9 @@
     private String elsewhere;                       // another protocol at which clients may ask, if any
 
     public ClientServer(EventLoop loop, SettingsReader.Boot boot, Dispatcher dispatcher, Budget budget,
-            Room room, Consumer<String> log) {
+            Room room, LifeCycle life, Consumer<String> log) {
         this.room = room;
+        this.life = life;
         this.loop = loop;
         this.boot = boot;
         this.dispatcher = dispatcher;
@@ -98,19 +102,34 @@
         }
     }
 
-    public void ready() {
-        ready = !stopping;
-    }
-
     /** Serves a rehearsal's requests as well; null when it is over. */
     public void rehearse(Drill with) {
         rehearsal = with;
     }
 
-    /** From here on answers end their connections; new ones are still taken. */
-    public void stopping() {
-        ready = false;
-        stopping = true;
+    /** Does what the life cycle says by now: takes connections or not, and ends those that rest too long. */
+    public void follow() {
+        makeRoom();
+        wind();
+    }
+
+    // A few at a time: what has come in meanwhile is read between them, and not cut off.
+    private void wind() {
+        long now = System.nanoTime();
+        long most = life.restMost(now);
+        if (most == Long.MAX_VALUE || winding) {
+            return;
+        }
+        List<Client> over = clients.stream().filter(c -> c.lease().atRest() && c.lease().since(now) >= most)
+            .limit(CLOSES).toList();
+        over.forEach(Client::close);
+        if (over.size() == CLOSES) {
+            winding = true;
+            loop.schedule(() -> {
+                winding = false;
+                wind();
+            }, 1, TimeUnit.MILLISECONDS);
+        }
     }
 
     /** From here on answers name another protocol's address as well (Alt-Svc, RFC 7838); null: none. */
@@ -119,11 +138,11 @@
     }
 
     String elsewhere() {
-        return stopping ? null : elsewhere;
+        return life.keeps() ? elsewhere : null;
     }
 
-    boolean isStopping() {
-        return stopping;
+    boolean keeps() {
+        return life.keeps();
     }
 
     Budget budget() {
@@ -134,10 +153,18 @@
         return room;
     }
 
-    /** Takes no more connections and drops those that hold no request. */
+    /** Takes no more connections. One that others listen at as well stays as it is, unread. */
     public void close() {
-        listener.close();
-        List.copyOf(clients).stream().filter(c -> c.lease().atRest()).forEach(Client::close);
+        if (shared) {
+            listener.config().setAutoRead(false);
+        } else {
+            listener.close();
+        }
+    }
+
+    /** How many connections clients hold here. */
+    public int open() {
+        return clients.size();
     }
 
     // ---------------------------------------------------------------- connections
@@ -182,7 +209,8 @@
         makingRoom = false;
         budget.waiting(!room);
         if (listener.isOpen()) {
-            boolean open = room && (rehearsal == null || strangers < STRANGERS);
+            boolean open = room && (rehearsal == null || strangers < STRANGERS)
+                && life.accepts(shared, System.nanoTime());
             listener.config().setAutoRead(open);
             if (!open && !again) {
                 again = true;                       // a newcomer's fair time may be over before anything ends
@@ -210,8 +238,8 @@
         } else if (path.startsWith("/-/") && !(rehearsing && path.equals(Drill.PATH))) {
             boolean asked = path.equals("/-/ready") && request.method().equals(HttpMethod.GET);
             HttpResponseStatus status = !asked ? HttpResponseStatus.NOT_FOUND
-                : ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
-            client.plain(status, !asked ? "not found" : ready ? "ready" : "not ready", keep);
+                : life.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+            client.plain(status, !asked ? "not found" : life.ready() ? "ready" : "not ready", keep);
         } else {
             Order order;
             try {
--- a/src/main/java/junctionhead/front/http3/Http3Server.java
+++ b/src/main/java/junctionhead/front/http3/Http3Server.java
@@ -110,8 +110,10 @@
         return (InetSocketAddress) socket.localAddress();
     }
 
+    /** Takes clients, for the first time or again: those that were told that it goes come anew. */
     public void ready() {
-        ready = !stopping;
+        ready = !closing;
+        stopping = closing;
     }
 
     boolean isReady() {
--- /dev/null
+++ b/src/main/java/junctionhead/front/management/Operations.java
@@ -0,0 +1,18 @@
+package junctionhead.front.management;
+
+import junctionhead.service.LifeCycle;
+
+/** What operators may ask of a balancer; called on the event loop. */
+public interface Operations {
+    /** Whether this process takes clients. */
+    boolean ready();
+
+    /** Sends the clients away. */
+    LifeCycle.Verdict evacuate();
+
+    /** Takes clients again. */
+    LifeCycle.Verdict rejoin();
+
+    /** What it is at, in a word. */
+    String state();
+}
--- a/src/main/java/junctionhead/node/Node.java
+++ b/src/main/java/junctionhead/node/Node.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -23,14 +24,18 @@
 import junctionhead.core.Room;
 import junctionhead.core.Targets;
 import junctionhead.front.http1.ClientServer;
+import junctionhead.front.management.Door;
+import junctionhead.front.management.Operations;
 import junctionhead.log.LineSink;
 import junctionhead.membership.Discovery;
 import junctionhead.membership.StaticList;
+import junctionhead.service.LifeCycle;
 import junctionhead.upstream.Upstreams;
 
 /** One real balancer: its start, its readiness and its orderly stop. */
 public final class Node {
-    private static final long LINGER_MS = 600;      // after SIGTERM: clients go on coming for a while
+    private static final long LINGER_MS = TimeUnit.NANOSECONDS.toMillis(LifeCycle.LINGER);
+    private static final long FOLLOW_MS = 50;       // between looks at what the life cycle says
     private static final long FLUSH_MS = 20;        // for the last answers to leave
     private static final long LAST_LINES_MS = 500;  // for the last lines, if somebody reads them
 
@@ -44,6 +49,8 @@
     private final StaticList fixed;                 // null where it doesn't
     private final Budget budget;
     private final ClientServer clients;
+    private final LifeCycle life = new LifeCycle(System.nanoTime());
+    private final Door door;                        // null where operators have none
     private final Config config;
     private final Extension.Part extra;             // null where there is none
     private final CountDownLatch stopped = new CountDownLatch(1);
@@ -73,7 +80,8 @@
             this::listed, log) : null;
         fixed = asked ? null : new StaticList(config.known(), this::listed);
         Room room = new Room(Room.CLIENTS);
-        clients = new ClientServer(loop, config.boot(), dispatcher, budget, room, log);
+        clients = new ClientServer(loop, config.boot(), dispatcher, budget, room, life, log);
+        door = config.management() == null ? null : new Door(loop, new Orders());
         extra = extension == null ? null
             : extension.of(new Extension.Lent(loop, config, dispatcher, room, log));
         dispatcher.attach(extra == null ? upstreams : extra.carrier(upstreams), asked ? discovery : fixed);
@@ -104,7 +112,7 @@
         try {
             at = node.start();
         } catch (Exception e) {     // sync() rethrows what bind failed with, whatever its type
-            log.accept("can't listen on " + node.config.listen() + ": " + e.getMessage());
+            log.accept(e.getMessage());
             log.close(LAST_LINES_MS);
             return 1;
         }
@@ -125,12 +133,27 @@
 
     /** Listens and begins to work; returns the address in use. */
     InetSocketAddress start() throws IOException {
-        InetSocketAddress at = clients.listen(config.listen());
+        if (door != null) {
+            try {
+                log.accept("management on " + Addresses.text(door.listen(config.management())));
+            } catch (Exception e) {     // sync() rethrows what bind failed with, whatever its type
+                throw new IOException("management: can't listen on " + Addresses.text(config.management())
+                    + ": " + e.getMessage(), e);
+            }
+        }
+        InetSocketAddress at;
+        try {
+            at = clients.listen(config.listen());
+        } catch (Exception e) {
+            throw new IOException("can't listen on " + Addresses.text(config.listen()) + ": "
+                + e.getMessage(), e);
+        }
         InetSocketAddress beside = extra == null ? null : extra.listen();
         if (beside != null) {
             log.accept("http3 on " + Addresses.text(beside));
             besides = beside;
         }
+        loop.scheduleWithFixedDelay(this::follow, FOLLOW_MS, FOLLOW_MS, TimeUnit.MILLISECONDS);
         loop.execute(() -> {
             if (beside != null) {
                 clients.advertise(extra.advertisement(beside));
@@ -222,24 +245,72 @@
 
     private void readyIfSo() {
         if (hasList && rehearsed) {
-            clients.ready();
-            if (extra != null) {
+            if (life.prepared(System.nanoTime()) && extra != null) {
                 extra.ready();
             }
+            clients.follow();
             readied.countDown();
         }
     }
 
+    private void follow() {
+        if (life.pass(System.nanoTime())) {
+            log.accept("evacuated: " + clients.open() + " connections left to answer");
+        }
+        if (!life.ready()) {
+            clients.follow();
+        }
+    }
+
+    /** What operators ask for at the door. */
+    private final class Orders implements Operations {
+        @Override
+        public boolean ready() {
+            return life.ready();
+        }
+
+        @Override
+        public LifeCycle.Verdict evacuate() {
+            LifeCycle.Verdict verdict = life.evacuate(System.nanoTime());
+            if (verdict == LifeCycle.Verdict.DONE) {
+                log.accept("evacuating: clients are sent away, " + clients.open() + " connections");
+                if (extra != null) {
+                    extra.stopping();
+                }
+            }
+            return verdict;
+        }
+
+        @Override
+        public LifeCycle.Verdict rejoin() {
+            LifeCycle.Verdict verdict = life.rejoin(System.nanoTime());
+            if (verdict == LifeCycle.Verdict.DONE) {
+                log.accept("rejoined: " + state());
+                if (extra != null && life.ready()) {
+                    extra.ready();
+                }
+                clients.follow();
+            }
+            return verdict;
+        }
+
+        @Override
+        public String state() {
+            return life.state().name().toLowerCase(Locale.ROOT).replace('_', ' ');
+        }
+    }
+
     /** Ends in order, as after SIGTERM, and returns when all that was taken has been answered. */
     void stop() {
         loop.execute(() -> {
-            clients.stopping();
+            life.stop(System.nanoTime());
             if (extra != null) {
                 extra.stopping();
             }
         });
         loop.schedule(() -> {
             clients.close();
+            clients.follow();
             if (extra != null) {
                 extra.close();
             }
--- a/src/test/java/junctionhead/HouseTest.java
+++ b/src/test/java/junctionhead/HouseTest.java
@@ -42,6 +42,8 @@
     @Test
     void whatDecidesDoesNoInputOrOutputAndReadsNoClock() {
         noClasses().that().resideInAPackage(Budget.class.getPackageName()).or()
+            .resideInAPackage("junctionhead.service..").or()
+            .haveFullyQualifiedName("junctionhead.front.management.Calls").or()
             .belongToAnyOf(OrderRules.class, Tally.class, Balance.class, Room.class, DrainGrace.class,
                 HeadRules.class,
                 MessageState.class, Endings.class, BoxPlan.class, Sessions.class, ResetGuard.class,
