Upgrade in service: two processes on one inherited listener, with a socket between them

Both read one accept queue; the new one says ready over a Unix-domain socket in TMPDIR, whose end is the end of the process. The rehearsal dials a socket of its own, as the shared listener may reach the other. Ruled out: a port of its own for the rehearsal (the platform names none); files in TMPDIR (they outlive a crash). Tested with two real processes; a test first hung as ended processes stayed zombies of their parent.

--- a/src/main/java/junctionhead/connections/Budget.java
+++ b/src/main/java/junctionhead/connections/Budget.java
@@ -35,9 +35,9 @@
     private static final double OWN_WEIGHT = 2;     // rests that the peer's share counts for beside its own
     private static final double PEER_WEIGHT = 8;    // rests that the common one counts for beside the peer's
 
-    private final Limits limits;
-    private final int clientFloor;
-    private final int upstreamFloor;
+    private Limits limits;
+    private int clientFloor;
+    private int upstreamFloor;
     private final Register register = new Register();
     private final Tally tally;
     private Reuse reuse;
@@ -51,13 +51,18 @@
 
     /** A budget with nothing open. */
     public Budget(Limits limits, long now) {
-        this.limits = limits;
-        this.clientFloor = Math.max(1, (int) (limits.most() * limits.clientFloor()));
-        this.upstreamFloor = Math.max(1, (int) (limits.most() * limits.upstreamFloor()));
+        limit(limits);
         this.tally = new Tally(now);
         unlearn(now);
     }
 
+    /** Other limits from here on; what is open beyond them goes as {@link #makeRoom} is called. */
+    public void limit(Limits to) {
+        limits = to;
+        clientFloor = Math.max(1, (int) (to.most() * to.clientFloor()));
+        upstreamFloor = Math.max(1, (int) (to.most() * to.upstreamFloor()));
+    }
+
     /** Forgets what it has learned, not what is open: after connections that were none of its clients'. */
     public void unlearn(long now) {
         reuse = new Reuse(REUSE_MEMORY, now);
--- a/src/main/java/junctionhead/connections/Limits.java
+++ b/src/main/java/junctionhead/connections/Limits.java
@@ -34,6 +34,13 @@
         }
     }
 
+    /** The same for half as many descriptors, where two processes share them. */
+    public Limits half() {
+        int reserve = Math.min(RESERVE, most);
+        return new Limits(Math.max(2, (most + reserve) / 2 - reserve), clientFloor, upstreamFloor, restLeast,
+            restMost, silentMost, askLeast, askMost);
+    }
+
     /** The usual ones for a process that may hold so many descriptors. */
     public static Limits of(int descriptors) {
         return new Limits(Math.max(2, descriptors - Math.min(RESERVE, descriptors / 2)), 0.35, 0.2,
--- a/src/main/java/junctionhead/front/http1/Client.java
+++ b/src/main/java/junctionhead/front/http1/Client.java
@@ -5,7 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -227,7 +227,7 @@
         } else {
             // Closed at once, with bytes unread, the connection would be reset before the answer is read.
             ending = true;
-            written.addListener(done -> ((SocketChannel) channel).shutdownOutput());
+            written.addListener(done -> ((DuplexChannel) channel).shutdownOutput());
         }
     }
 
--- a/src/main/java/junctionhead/front/http1/ClientServer.java
+++ b/src/main/java/junctionhead/front/http1/ClientServer.java
@@ -4,9 +4,11 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
@@ -14,7 +16,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.UnixDomainSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
@@ -72,16 +77,25 @@
         this.log = log;
     }
 
-    /** Listens; called from another thread than the loop's, and returns the address in use. */
-    public InetSocketAddress listen(InetSocketAddress at) throws IOException {
+    /**
+     * Listens; called from another thread than the loop's, and returns the address in use.
+     *
+     * @param inherited a listener that other processes read as well, in place of one of its own; or null
+     */
+    public InetSocketAddress listen(InetSocketAddress at, ServerSocketChannel inherited) throws IOException {
+        shared = inherited != null;
         try {
-            Channel bound = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+            ServerBootstrap bootstrap = new ServerBootstrap().group(loop, loop)
+                .channelFactory(() -> shared ? new NioServerSocketChannel(inherited)
+                    : new NioServerSocketChannel())
                 // Known before it listens: on a slow machine a connection came in before bind had returned
                 // to the starting thread, found no listener, and was dropped unanswered.
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         listener = channel;
+                        // Before this process is ready whoever came before it accepts.
+                        channel.config().setAutoRead(!shared);
                         channel.config().setRecvByteBufAllocator(
                             new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS));
                     }
@@ -93,7 +107,8 @@
                     protected void initChannel(Channel channel) {
                         opened(channel);
                     }
-                }).bind(at).sync().channel();
+                });
+            Channel bound = (shared ? bootstrap.register() : bootstrap.bind(at)).sync().channel();
             loop.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
             return (InetSocketAddress) bound.localAddress();
         } catch (InterruptedException e) {
@@ -102,6 +117,18 @@
         }
     }
 
+    /** Listens for a rehearsal at a socket of the file system; {@code then} gets it, or null, on the loop. */
+    public void listenBeside(Path path, Consumer<Channel> then) {
+        ChannelFuture bound = new ServerBootstrap().group(loop, loop)
+            .channel(NioServerDomainSocketChannel.class).childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    opened(channel);
+                }
+            }).bind(UnixDomainSocketAddress.of(path));
+        bound.addListener(done -> then.accept(done.isSuccess() ? bound.channel() : null));
+    }
+
     /** Serves a rehearsal's requests as well; null when it is over. */
     public void rehearse(Drill with) {
         rehearsal = with;
--- a/src/main/java/junctionhead/node/Node.java
+++ b/src/main/java/junctionhead/node/Node.java
@@ -1,11 +1,14 @@
 package junctionhead.node;
 
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -26,10 +29,12 @@
 import junctionhead.front.http1.ClientServer;
 import junctionhead.front.management.Door;
 import junctionhead.front.management.Operations;
+import junctionhead.handover.Handover;
 import junctionhead.log.LineSink;
 import junctionhead.membership.Discovery;
 import junctionhead.membership.StaticList;
 import junctionhead.service.LifeCycle;
+import junctionhead.service.Succession;
 import junctionhead.upstream.Upstreams;
 
 /** One real balancer: its start, its readiness and its orderly stop. */
@@ -49,6 +54,7 @@
     private final StaticList fixed;                 // null where it doesn't
     private final Budget budget;
     private final ClientServer clients;
+    private final Handover handover;                // null where the listener is its own
     private final LifeCycle life = new LifeCycle(System.nanoTime());
     private final Door door;                        // null where operators have none
     private final Config config;
@@ -81,6 +87,8 @@
         fixed = asked ? null : new StaticList(config.known(), this::listed);
         Room room = new Room(Room.CLIENTS);
         clients = new ClientServer(loop, config.boot(), dispatcher, budget, room, life, log);
+        handover = !config.inherited() ? null
+            : new Handover(loop, shared("honeyspindle.sock"), this::step, log);
         door = config.management() == null ? null : new Door(loop, new Orders());
         extra = extension == null ? null
             : extension.of(new Extension.Lent(loop, config, dispatcher, room, log));
@@ -143,7 +151,7 @@
         }
         InetSocketAddress at;
         try {
-            at = clients.listen(config.listen());
+            at = clients.listen(config.listen(), config.inherited() ? inherited() : null);
         } catch (Exception e) {
             throw new IOException("can't listen on " + Addresses.text(config.listen()) + ": "
                 + e.getMessage(), e);
@@ -164,27 +172,102 @@
             } else {
                 fixed.start();
             }
-            if (!rehearsed) {
-                Rehearsal rehearsal = new Rehearsal(loop, config, () -> {
-                    clients.rehearse(null);
-                    budget.unlearn(System.nanoTime());
-                    if (extra == null) {
-                        rehearsed = true;
-                        readyIfSo();
-                    } else {
-                        extra.rehearse(beside, () -> {
-                            rehearsed = true;
-                            readyIfSo();
-                        });
-                    }
-                });
-                clients.rehearse(rehearsal);
-                rehearsal.start(at);
+            if (handover == null) {
+                rehearse(at, beside, null);
+                return;
             }
+            handover.begin(found -> {
+                if (found) {
+                    log.accept("succeeding the process that serves");
+                    share();
+                }
+                beside(at, beside);
+            });
         });
         return at;
     }
 
+    // Clients' listener is shared: what is dialled there may reach the other process.
+    private void beside(InetSocketAddress at, InetSocketAddress beside) {
+        Path path = shared("rehearsal-" + ProcessHandle.current().pid() + ".sock");
+        clients.listenBeside(path, listener -> {
+            if (listener == null) {
+                log.accept("no rehearsal: can't listen on " + path);
+                rehearsed = true;
+                readyIfSo();
+                return;
+            }
+            listener.closeFuture().addListener(closed -> path.toFile().delete());
+            rehearse(at, beside, listener);
+        });
+    }
+
+    private void rehearse(InetSocketAddress at, InetSocketAddress beside, Channel own) {
+        if (rehearsed) {
+            readyIfSo();
+            return;
+        }
+        Rehearsal rehearsal = new Rehearsal(loop, config, own == null ? null : own.localAddress(), () -> {
+            clients.rehearse(null);
+            budget.unlearn(System.nanoTime());
+            if (own != null) {
+                own.close();
+            }
+            if (extra == null) {
+                rehearsed = true;
+                readyIfSo();
+            } else {
+                extra.rehearse(beside, () -> {
+                    rehearsed = true;
+                    readyIfSo();
+                });
+            }
+        });
+        clients.rehearse(rehearsal);
+        rehearsal.start(at);
+    }
+
+    private static Path shared(String name) {
+        String folder = System.getenv("TMPDIR");
+        boolean told = folder != null && !folder.isBlank();
+        return Path.of(told ? folder : System.getProperty("java.io.tmpdir"), name);
+    }
+
+    private static ServerSocketChannel inherited() throws IOException {
+        if (System.inheritedChannel() instanceof ServerSocketChannel listener) {
+            return listener;
+        }
+        throw new IOException("descriptor 0 is not a listening socket");
+    }
+
+    // ---------------------------------------------------------------- upgrades
+
+    private void share() {
+        budget.limit(handover.shares() ? config.connections().half() : config.connections());
+        clients.follow();
+    }
+
+    private void step(Succession.Step step) {
+        long now = System.nanoTime();
+        switch (step) {
+            case SHARE -> log.accept("a successor has started");
+            case HAND_OVER -> {
+                if (life.handOver(now)) {
+                    log.accept("handing over: " + clients.open() + " connections left");
+                }
+            }
+            case TAKE_BACK -> {
+                if (life.takeBack(now)) {
+                    log.accept("the successor has gone: taking clients again");
+                }
+            }
+            case ALONE -> log.accept("no other process any more");
+            case NOTHING -> { }
+            default -> throw new IllegalStateException("no such step: " + step);
+        }
+        share();
+    }
+
     boolean awaitReady(long millis) throws InterruptedException {
         return readied.await(millis, TimeUnit.MILLISECONDS);
     }
@@ -249,6 +332,9 @@
                 extra.ready();
             }
             clients.follow();
+            if (handover != null && life.ready()) {
+                handover.ready();
+            }
             readied.countDown();
         }
     }
@@ -260,6 +346,9 @@
         if (!life.ready()) {
             clients.follow();
         }
+        if (life.left(System.nanoTime()) && clients.open() == 0) {
+            dispatcher.whenIdle(stopped::countDown);
+        }
     }
 
     /** What operators ask for at the door. */
@@ -290,6 +379,9 @@
                     extra.ready();
                 }
                 clients.follow();
+                if (handover != null && life.ready()) {
+                    handover.ready();
+                }
             }
             return verdict;
         }
@@ -325,7 +417,9 @@
         }, LINGER_MS, TimeUnit.MILLISECONDS);
         await();
         log.accept("stopped: " + dispatcher.summary() + "; " + budget.summary());
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        if (!config.inherited()) {      // its end would take standard error along, and the last lines
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
     }
 
     private void await() {
--- a/src/main/java/junctionhead/node/Rehearsal.java
+++ b/src/main/java/junctionhead/node/Rehearsal.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -51,8 +52,11 @@
     private int hops;
     private boolean over;
 
-    /** {@code then} runs on the loop when it is over. */
-    Rehearsal(EventLoop loop, Config config, Runnable then) {
+    /**
+     * {@code then} runs on the loop when it is over; {@code through}: a socket to dial in place of TCP, or
+     * null.
+     */
+    Rehearsal(EventLoop loop, Config config, SocketAddress through, Runnable then) {
         this.loop = loop;
         this.boot = config.boot();
         this.then = then;
@@ -60,8 +64,8 @@
         Policy policy = new Balance(boot.settings(), config.seed());
         dispatcher = new Dispatcher(new NettyLoop(loop), Clock.system(), boot, policy, line -> { });
         Budget budget = new Budget(config.connections(), System.nanoTime());
-        back = new Upstreams(loop, boot, budget, dispatcher::now);
-        front = new Upstreams(loop, boot, budget, dispatcher::now);
+        back = new Upstreams(loop, boot, budget, dispatcher::now, through);
+        front = new Upstreams(loop, boot, budget, dispatcher::now, through);
         dispatcher.attach(back, Membership.NONE);
     }
 
--- a/src/main/java/junctionhead/service/LifeCycle.java
+++ b/src/main/java/junctionhead/service/LifeCycle.java
@@ -142,6 +142,12 @@
         };
     }
 
+    /** Whether it may leave by itself once nothing is held: a successor has had the clients for a while. */
+    public boolean left(long now) {
+        return state == State.HANDING_OVER && now - since >= HAND_OVER
+            || state == State.STOPPING && succeeded;
+    }
+
     /** Whether an answer leaves its connection open, where nothing else speaks against it. */
     public boolean keeps() {
         return state == State.STARTING || state == State.READY;
@@ -155,7 +161,7 @@
             case EVACUATING -> age < LINGER ? NO_LIMIT : age < EVACUATE ? RESTED : 0;
             case EVACUATED -> LATE_REST;
             case HANDING_OVER -> age < LINGER ? NO_LIMIT : age < HAND_OVER ? RESTED : 0;
-            case STOPPING -> age < LINGER ? NO_LIMIT : 0;
+            case STOPPING -> age >= LINGER ? 0 : succeeded ? RESTED : NO_LIMIT;
         };
     }
 }
--- a/src/main/java/junctionhead/upstream/Upstreams.java
+++ b/src/main/java/junctionhead/upstream/Upstreams.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioDomainSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
@@ -18,6 +19,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.AsciiString;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -65,19 +67,31 @@
     private final Budget budget;
     private final Clock clock;
     private final Bootstrap bootstrap;
+    private final SocketAddress all;                // where every upstream stands, or null
     private final IdleRest rest;
     private final Map<String, Upstream> upstreams = new HashMap<>();
     private final Future<?> sweep;
 
     public Upstreams(EventLoop loop, SettingsReader.Boot boot, Budget budget, Clock clock) {
+        this(loop, boot, budget, clock, null);
+    }
+
+    /** The same where all upstreams stand at one socket of the file system; null: each at its own address. */
+    public Upstreams(EventLoop loop, SettingsReader.Boot boot, Budget budget, Clock clock,
+            SocketAddress all) {
+        this.all = all;
         this.loop = loop;
         this.boot = boot;
         this.budget = budget;
         this.clock = clock;
         this.rest = new IdleRest(boot.idleClose());
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
+        this.bootstrap = new Bootstrap().group(loop)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis());
+        if (all == null) {
+            bootstrap.channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
+        } else {
+            bootstrap.channel(NioDomainSocketChannel.class);
+        }
         long every = rest.every();
         sweep = loop.scheduleWithFixedDelay(this::closeOld, every, every, TimeUnit.MICROSECONDS);
     }
@@ -169,7 +183,7 @@
                 channel.pipeline().addLast(new HttpRequestEncoder(), connection.reader.decoder(),
                     connection.reader);
             }
-        }).connect(u.endpoint);
+        }).connect(all == null ? u.endpoint : all);
         connection.channel = connected.channel();
         connection.channel.closeFuture().addListener(closed -> connection.closed());
         connected.addListener(done -> {
--- /dev/null
+++ b/src/test/java/junctionhead/node/UpgradeTest.java
@@ -0,0 +1,207 @@
+package junctionhead.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assumptions.assumeTrue;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** One process succeeds another in service: two of them, with a listener that neither owns. */
+@Timeout(120)
+class UpgradeTest extends NodeFixture {
+    /** What starts balancers as the platform does. */
+    private final class Platform implements Closeable {
+        private final Path folder = Files.createTempDirectory("up");
+        private final Process process;
+        private final BufferedReader said;
+        private final int port;
+
+        Platform() throws IOException {
+            Path script = folder.resolve("platform.pl");
+            try (InputStream in = UpgradeTest.class.getResourceAsStream("platform.pl")) {
+                Files.copy(in, script);
+            }
+            ProcessBuilder builder = new ProcessBuilder("perl", script.toString());
+            builder.environment().put("TMPDIR", folder.toString());
+            builder.environment().put("ROUTER_INHERITED_FD", "0");
+            process = builder.redirectError(folder.resolve("log").toFile()).start();
+            said = process.inputReader();
+            port = Integer.parseInt(said.readLine().replace("port ", ""));
+            at = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+        }
+
+        /** Starts another one; returns where it is to be asked, and its process. */
+        Started start(Map<String, Object> settings) throws IOException {
+            int free;
+            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                free = socket.getLocalPort();
+            }
+            Path config = folder.resolve("config" + free + ".json");
+            Map<String, Object> json = new HashMap<>(Map.of("name", "n1", "listen", "127.0.0.1:" + port,
+                "management", "127.0.0.1:" + free, "discovery", discovery.address(), "seed", "1",
+                "limits", Map.of("sockets", 256), "settings", settings));
+            json.put("known", JSON.std.mapFrom(list(41, true, "in_service")));
+            Files.writeString(config, JSON.std.asString(json));
+            String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+            tell("ROUTER_CONFIG=" + config + " " + java + " -XX:TieredStopAtLevel=1 -cp '"
+                + System.getProperty("java.class.path") + "' junctionhead.Main serve");
+            long pid = Long.parseLong(said.readLine().replace("started ", ""));
+            return new Started(new InetSocketAddress(InetAddress.getLoopbackAddress(), free),
+                ProcessHandle.of(pid));
+        }
+
+        private void tell(String line) throws IOException {
+            OutputStream out = process.getOutputStream();
+            // In /bin/sh a variable before exec's command is not always handed on: env does it.
+            out.write(("env " + line + "\n").getBytes(StandardCharsets.UTF_8));
+            out.flush();
+        }
+
+        String log() throws IOException {
+            return Files.readString(folder.resolve("log"));
+        }
+
+        @Override
+        public void close() throws IOException {
+            process.getOutputStream().close();
+            try {
+                process.waitFor();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            try (var files = Files.list(folder)) {
+                for (Path file : files.toList()) {
+                    Files.delete(file);
+                }
+            }
+            Files.delete(folder);
+        }
+    }
+
+    private record Started(InetSocketAddress door, Optional<ProcessHandle> handle) {
+        boolean ready() {
+            try (Client caller = new Client(door)) {
+                return caller.send("GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200;
+            } catch (IOException e) {
+                return false;                       // it does not listen yet, or not any more
+            }
+        }
+
+        void awaitReady() throws InterruptedException {
+            while (!ready()) {
+                Thread.sleep(20);
+            }
+        }
+
+        void awaitEnd() throws Exception {
+            if (handle.isPresent()) {
+                handle.get().onExit().get();
+            }
+        }
+    }
+
+    private static boolean perl() {
+        try {
+            return new ProcessBuilder("perl", "-e", "1").start().waitFor() == 0;
+        } catch (IOException | InterruptedException e) {
+            return false;
+        }
+    }
+
+    private static String ask(int number) {
+        return SAFE.replace("r1", "r" + number);
+    }
+
+    @Test
+    void clientsNeverNoticeAndWhatTheOldOneHoldsIsAnswered() throws Exception {
+        assumeTrue(perl(), "no perl to hold the listening socket");
+        try (Platform platform = new Platform()) {
+            Started old = platform.start(settings());
+            old.awaitReady();
+            Client kept = new Client(at).send(ask(1));
+            assertTrue(kept.answerAfter(upstream).startsWith("HTTP/1.1 200"));
+            Client held = new Client(at).send(ask(2));
+            FakeUpstream.Got got = upstream.next();
+            Started next = platform.start(settings());
+            next.awaitReady();
+            while (old.ready()) {
+                Thread.sleep(5);
+            }
+            String last = kept.send(ask(3)).answerAfter(upstream);
+            assertTrue(last.startsWith("HTTP/1.1 200"), last);
+            assertTrue(last.toLowerCase().contains("connection: close"), last);
+            for (int i = 4; i < 20; i++) {
+                try (Client fresh = new Client(at).send(ask(i))) {
+                    String head = fresh.answerAfter(upstream);
+                    assertTrue(head.startsWith("HTTP/1.1 200"), head);
+                    assertTrue(!head.toLowerCase().contains("connection: close"), "by the old one: " + head);
+                }
+            }
+            old.handle().ifPresent(ProcessHandle::destroy);
+            got.answer(200, "", "late but whole");
+            assertEquals(200, held.status());
+            assertNull(held.answer());
+            old.awaitEnd();
+            assertTrue(next.ready());
+            String log = platform.log();
+            assertTrue(log.contains("handing over") && log.contains("stopped: "), log);
+            // And once more: who was new is old now.
+            Started third = platform.start(settings());
+            third.awaitReady();
+            next.handle().ifPresent(ProcessHandle::destroy);
+            next.awaitEnd();
+            try (Client fresh = new Client(at).send(ask(30))) {
+                assertTrue(fresh.answerAfter(upstream).startsWith("HTTP/1.1 200"));
+            }
+        }
+    }
+
+    @Test
+    void anUpgradeThatFailsLeavesTheOldOneAsItWas() throws Exception {
+        assumeTrue(perl(), "no perl to hold the listening socket");
+        try (Platform platform = new Platform()) {
+            Started old = platform.start(settings());
+            old.awaitReady();
+            Client kept = new Client(at).send(ask(1));
+            assertTrue(kept.answerAfter(upstream).startsWith("HTTP/1.1 200"));
+            platform.start(Map.of("Quantum", 1)).awaitEnd();            // it can't start
+            Started next = platform.start(settings());
+            next.awaitReady();
+            while (old.ready()) {
+                Thread.sleep(5);
+            }
+            next.handle().ifPresent(ProcessHandle::destroyForcibly);    // with the clients in its hands
+            next.awaitEnd();
+            old.awaitReady();
+            List<Integer> answered = new ArrayList<>();
+            for (int i = 2; i < 10; i++) {
+                try (Client fresh = new Client(at).send(ask(i))) {
+                    String head = fresh.answerAfter(upstream);
+                    assertTrue(head.startsWith("HTTP/1.1 200"), head);
+                    answered.add(i);
+                }
+            }
+            assertEquals(8, answered.size());
+            assertTrue(platform.log().contains("the successor has gone"), platform.log());
+        }
+    }
+}
