Settings change in service: swapped once on the loop, carried over by name

The file is checked whole on the signal's thread; requests keep their class's record and limits, what was learned hangs on an object that is carried over by name. A dropped class is served for 10 s.

--- a/src/main/java/junctionhead/Balance.java
+++ b/src/main/java/junctionhead/Balance.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -15,6 +16,7 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import junctionhead.Books.Attempt;
+import junctionhead.Books.Learned;
 import junctionhead.Books.Node;
 import junctionhead.Books.Request;
 import junctionhead.Books.Turn;
@@ -87,11 +89,11 @@
     private static final Comparator<Node> BY_ACCOMPLISHMENT =
         Comparator.<Node>comparingDouble(n -> -n.count).thenComparingInt(n -> n.order);
 
-    private final Settings settings;
+    private Settings settings;
     private final SplittableRandom random;
-    private final long tick;
-    private final long shortestAim;
-    private final boolean anySafe;                      // whether any class may simply be repeated
+    private long tick;
+    private long shortestAim;
+    private boolean anySafe;                            // whether any class may simply be repeated
     private final Map<String, Node> nodes = new LinkedHashMap<>();
     private List<Node> listed = new ArrayList<>();      // up, in the seeded order
     private boolean allLookBad;                         // or most of them: the fault is elsewhere
@@ -107,19 +109,17 @@
     private final Map<Long, Turn> turns = new LinkedHashMap<>();
     // in share, over share
     private final List<List<Request>> held = List.of(new ArrayList<>(), new ArrayList<>());
-    private final double[] usual;                       // µs, moving mean latency of each class
-    private final double[] meanWork;                    // moving mean of each class's hints
-    private final double[] brought;                     // faded first tries of each tenant
-    private final double[] shareTokens; // requests each tenant may still bring within its share
-    private final long[] shareAt;
-    private final long[] firstTry;                      // µs, most time of a first try
+    private Learned[] learned = {};                     // of each class
+    private double[] brought = {};                      // faded first tries of each tenant
+    private double[] shareTokens = {}; // requests each tenant may still bring within its share
+    private long[] shareAt = {};
     private double meanWeight = 1;                      // of listed servers
     private double ownMean;                             // moving mean of own attempts in flight
     private double shortestUsual;                       // µs, the least of the classes' usual latencies
     private int inFlight;
-    private final double[] tiers;                       // the distinct worths of requests, ascending
-    private final double[] asked;                       // faded arrivals of each tier
-    private final double hedgeLevel;                    // above it requests within their share are refused
+    private double[] tiers = {};                        // the distinct worths of requests, ascending
+    private double[] asked = {};                        // faded arrivals of each tier
+    private double hedgeLevel;                          // above it requests within their share are refused
     private double level;                               // tiers turned away, the last of them in part
     private double lean;                                // what the strain of now adds to the level
     private double strain;                              // moving mean of latency / aim
@@ -138,35 +138,64 @@
     private long remarkAt;
 
     public Balance(Settings settings, long seed) {
-        this.settings = settings;
         this.random = new SplittableRandom(seed);
-        this.usual = new double[settings.classes().size()];
-        for (int i = 0; i < usual.length; i++) {
-            usual[i] = settings.classes().get(i).aim() / 4.0;
-        }
-        this.meanWork = new double[usual.length];
-        this.shortestAim = settings.classes().stream().mapToLong(RequestClass::aim).min().getAsLong();
-        this.shortestUsual = Arrays.stream(usual).min().getAsDouble();
-        this.anySafe = settings.classes().stream().anyMatch(c -> c.effect() == Effect.SAFE);
         this.home = (long) ((settings.rank() + 0.5) / settings.balancers() * 0x1p64 - 0x1p63);
-        this.tiers = settings.classes().stream().flatMapToDouble(c ->
-            DoubleStream.of(value(c, false), value(c, true))).distinct().sorted().toArray();
-        this.asked = new double[tiers.length];
-        double inShare = settings.classes().stream().mapToDouble(c -> value(c, false)).min().getAsDouble();
+        tune(0, settings, Collections.nCopies(settings.classes().size(), -1),
+            Collections.nCopies(settings.tenants().size(), -1));
+        double inShare = inShare();
         while (tiers[(int) level] < Math.min(inShare, CHEAP * tiers[tiers.length - 1])) {
             level++;
         }
-        this.hedgeLevel = Arrays.binarySearch(tiers, inShare) + 0.05;
-        this.tick = Math.max(settings.tick(), Math.min(TICK_MOST, shortestAim / 16));
-        this.shareTokens = new double[settings.tenants().size()];
-        this.brought = new double[Math.max(1, settings.tenants().size())];
-        this.shareAt = new long[settings.tenants().size()];
-        this.firstTry = new long[usual.length];
+    }
+
+    // All that follows from the settings. What is open holds its class's own record, and is not touched.
+    private void tune(long now, Settings to, List<Integer> formerClasses, List<Integer> formerTenants) {
+        settings = to;
+        Learned[] before = learned;
+        learned = IntStream.range(0, to.classes().size()).mapToObj(i -> formerClasses.get(i) < 0
+            ? new Learned(to.classes().get(i)) : before[formerClasses.get(i)]).toArray(Learned[]::new);
+        shortestAim = to.classes().stream().mapToLong(RequestClass::aim).min().getAsLong();
+        shortestUsual = shortestUsual();
+        anySafe = to.classes().stream().anyMatch(c -> c.effect() == Effect.SAFE);
+        tick = Math.max(to.tick(), Math.min(TICK_MOST, shortestAim / 16));
+        double[] tiersBefore = tiers;
+        tiers = to.classes().stream().flatMapToDouble(c ->
+            DoubleStream.of(value(c, false), value(c, true))).distinct().sorted().toArray();
+        hedgeLevel = Arrays.binarySearch(tiers, inShare()) + 0.05;
+        if (!Arrays.equals(tiers, tiersBefore)) {
+            asked = new double[tiers.length];
+            level = tiersBefore.length == 0 ? 0 : level * tiers.length / tiersBefore.length;
+            lean = 0;
+        }
+        double[] tokensBefore = shareTokens;
+        double[] broughtBefore = brought;
+        shareTokens = new double[to.tenants().size()];
+        shareAt = new long[shareTokens.length];
+        brought = new double[Math.max(1, shareTokens.length)];
+        Arrays.fill(shareAt, now);
         for (int i = 0; i < shareTokens.length; i++) {
-            shareTokens[i] = SHARE_BURST * random.nextDouble(); // all full at once overran servers at a start
+            int former = formerTenants.get(i);
+            // All full at once overran servers at a start.
+            shareTokens[i] = former < 0 ? SHARE_BURST * random.nextDouble() : tokensBefore[former];
+            brought[i] = former < 0 ? 0 : broughtBefore[former];
         }
     }
 
+    private double inShare() {
+        return settings.classes().stream().mapToDouble(c -> value(c, false)).min().getAsDouble();
+    }
+
+    private double shortestUsual() {
+        return Arrays.stream(learned).mapToDouble(k -> k.usual).min().getAsDouble();
+    }
+
+    @Override
+    public void retune(long now, Settings to, List<Integer> formerClasses, List<Integer> formerTenants,
+            Actions out) {
+        tune(now, to, formerClasses, formerTenants);
+        wakeBy(now, tick, out);
+    }
+
     // ---------------------------------------------------------------- dispatch: the paper's definition
 
     // Ranks by accomplishment, samples A of the top p·k and D-A of the rest, takes the shortest queue.
@@ -297,7 +326,7 @@
         if (oldest == null) {
             return false;
         }
-        double patience = SILENCE * usual[oldest.request.number] + tick;
+        double patience = SILENCE * oldest.request.learned.usual + tick;
         return now - oldest.at > patience && now - n.lastOk > patience;
     }
 
@@ -406,13 +435,14 @@
         arrivals += resubmission ? 0 : 1;
         brought[tenant] += resubmission ? 0 : 1;
         long aim = kind.aim() + (work > 0 ? (long) (kind.aimStretch() * work) : 0);
-        Request r = new Request(id, requestClass, kind, key == null ? 0 : Hashing.hash(key), now, timeLeft,
+        Request r = new Request(id, learned[requestClass], kind, settings.limits(),
+            key == null ? 0 : Hashing.hash(key), now, timeLeft,
             now + aim - spent(requestClass, timeLeft, resubmission), overShare(tenant, now));
         open.put(id, r);
         if (work > 0) {
-            double mean = meanWork[requestClass];
-            meanWork[requestClass] += (mean > 0 ? SMOOTH : 1) * (work - mean);
-            r.size = 1 + HINTED * (work / meanWork[requestClass] - 1);
+            double mean = r.learned.meanWork;
+            r.learned.meanWork += (mean > 0 ? SMOOTH : 1) * (work - mean);
+            r.size = 1 + HINTED * (work / r.learned.meanWork - 1);
         }
         wakeBy(now, tick, out);
         retryBudget = Math.min(BUDGET_MOST, retryBudget + RETRY_SHARE);
@@ -494,9 +524,9 @@
     private long spent(int requestClass, long timeLeft, boolean resubmission) {
         long deadline = settings.classes().get(requestClass).deadline();
         if (!resubmission) {
-            firstTry[requestClass] = Math.max(firstTry[requestClass], timeLeft);
+            learned[requestClass].firstTry = Math.max(learned[requestClass].firstTry, timeLeft);
         }
-        boolean tells = resubmission && Math.abs(timeLeft - firstTry[requestClass]) > deadline / 32;
+        boolean tells = resubmission && Math.abs(timeLeft - learned[requestClass].firstTry) > deadline / 32;
         return tells ? Math.max(0, deadline - timeLeft) : 0;
     }
 
@@ -521,7 +551,7 @@
         if (r.aimAt <= r.arrived) {
             return r.arrived;
         }
-        return Math.max(r.arrived + (r.aimAt - r.arrived) / 4, r.aimAt - (long) (2 * usual[r.number]));
+        return Math.max(r.arrived + (r.aimAt - r.arrived) / 4, r.aimAt - (long) (2 * r.learned.usual));
     }
 
     // Keeps a request for which no server may be used now; one whose time is all but over is answered.
@@ -577,10 +607,10 @@
         if (r.kind.effect() != Effect.SAFE) {
             return r.kind.lateShare() < LATE_WORTH && r.aimAt > now ? r.aimAt - now : 0;
         }
-        if (settings.limits().mayDuplicate() || r.attempts.size() >= settings.limits().maxAttempts()) {
+        if (r.limits.mayDuplicate() || r.attempts.size() >= r.limits.maxAttempts()) {
             return 0;
         }
-        long patience = Math.max((r.deadline - now) / 2, (long) (3 * usual[r.number]));
+        long patience = Math.max((r.deadline - now) / 2, (long) (3 * r.learned.usual));
         return Math.max(1, Math.min(r.deadline - now, patience));
     }
 
@@ -653,7 +683,7 @@
     private void close(Request r, Actions out) {
         r.closed = true;
         for (int i = 0; i < r.attempts.size(); i++) {
-            if (r.attempts.get(i).out && settings.limits().mayCancel() && !r.streaming) {
+            if (r.attempts.get(i).out && r.limits.mayCancel() && !r.streaming) {
                 out.cancel(r.id, i);
             }
         }
@@ -662,7 +692,7 @@
     // After a failed attempt: another one, if the class, the deadline and the retry budget allow it.
     private void again(Request r, Outcome outcome, long now, Actions out) {
         boolean allowed = outcome.neverRan() || r.kind.effect() != Effect.UNSAFE && retryBudget >= 1;
-        if (!allowed || outcome == Outcome.NOT_SENT || r.attempts.size() >= settings.limits().maxAttempts()
+        if (!allowed || outcome == Outcome.NOT_SENT || r.attempts.size() >= r.limits.maxAttempts()
             || now >= (r.kind.effect() == Effect.SAFE ? r.deadline : r.aimAt) - tick) {
             finish(r, now, out);
             return;
@@ -684,11 +714,11 @@
     private void hedge(Request r, boolean crowded, long now, Actions out) {
         boolean safe = r.kind.effect() == Effect.SAFE;
         if (r.out != 1 || r.closed || r.streaming || r.kind.effect() == Effect.UNSAFE || safe && crowded
-            || now >= r.aimAt || r.attempts.size() >= settings.limits().maxAttempts()
-            || retryBudget < HEDGE_LEAST) {
+            || now >= r.aimAt || r.attempts.size() >= r.limits.maxAttempts()
+            || !r.limits.mayDuplicate() || retryBudget < HEDGE_LEAST) {
             return;
         }
-        double expected = usual[r.number] * r.size;
+        double expected = r.learned.usual * r.size;
         double room = safe ? r.aimAt - r.arrived - 2 * expected : 0;
         double patience = Math.max(expected, room);
         if (now - r.attempts.get(r.attempts.size() - 1).at < patience) {
@@ -743,14 +773,14 @@
     private void learn(Attempt a, Outcome outcome, long latency, long now, Actions out) {
         Node n = a.node;
         RequestClass kind = a.request.kind;
-        int number = a.request.number;
-        double usually = usual[number] * a.request.size;
+        Learned of = a.request.learned;
+        double usually = of.usual * a.request.size;
         switch (outcome) {
             case OK -> {
                 n.oks += scale;
                 n.lastOk = now;
                 slowed(n, latency / usually, now);
-                usual[number] += SMOOTH * (latency - usual[number]);
+                of.usual += SMOOTH * (latency - of.usual);
                 if (n.trial > 0 && --n.trial == 0) {
                     n.ejections = 0;
                     n.fails = 0;
@@ -760,25 +790,25 @@
             }
             case CANCELLED -> {         // the copy came first, or the client left
                 if (latency > 2 * usually) {    // its server may well be at it still
-                    failed(n, 0, (long) (2 * usual[number]), now, out);
+                    failed(n, 0, (long) (2 * of.usual), now, out);
                     slowed(n, Math.max(slowness(n, now), latency / usually), now);
                 }
             }
             case NOT_SENT -> { }
             case FULL -> {
                 // A hung server fills up and then only turns away: without answers that is no mere overload.
-                failed(n, now - n.lastOk > QUICK ? 0.5 : 0, (long) usual[number], now, out);
+                failed(n, now - n.lastOk > QUICK ? 0.5 : 0, (long) of.usual, now, out);
                 // It answers in no time, so it would win again and again while its queue is longest of all.
-                n.fullUntil = now + (long) (usual[number] * (0.5 + random.nextDouble()));
+                n.fullUntil = now + (long) (of.usual * (0.5 + random.nextDouble()));
                 strained(FULL_STRAIN, now);
             }
             // A time-out may be the fault of the load: it takes more of them.
             case TIMEOUT -> {
                 slowed(n, latency / usually, now);
                 strained(STRAIN_MOST, now);
-                failed(n, 0.5, (long) (2 * usual[number]), now, out);
+                failed(n, 0.5, (long) (2 * of.usual), now, out);
             }
-            default -> failed(n, 1, (long) (2 * usual[number]), now, out);
+            default -> failed(n, 1, (long) (2 * of.usual), now, out);
         }
     }
 
@@ -830,7 +860,7 @@
         if (now >= refreshAt) {
             refresh(now);
         }
-        shortestUsual = Arrays.stream(usual).min().getAsDouble();
+        shortestUsual = shortestUsual();
         ownMean += (1 - Math.exp(-(now - fadedAt) / QUICK)) * (inFlight - ownMean);
         if (now - strainAt > FORGET) {
             strain *= Math.exp(-(now - fadedAt) / FORGET);
@@ -843,7 +873,7 @@
                 sweep(r, now, out);
             }
         }
-        if (settings.limits().mayDuplicate() && level + lean < hedgeLevel) {
+        if (level + lean < hedgeLevel) {
             boolean crowded = turnedAway > HEDGE_FULL * arrivals;
             open.values().forEach(r -> hedge(r, crowded, now, out));
         }
--- a/src/main/java/junctionhead/Books.java
+++ b/src/main/java/junctionhead/Books.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import junctionhead.Policy.Limits;
 import junctionhead.Policy.RequestClass;
 import junctionhead.Policy.Server;
 
@@ -65,11 +66,23 @@
         long restUntil;                                 // attempts of the last one may still run until then
     }
 
+    /** What has been learned of a class; it outlives settings, and requests hold on to their class's. */
+    static final class Learned {
+        double usual;                                   // µs, moving mean latency
+        double meanWork;                                // moving mean of its hints
+        long firstTry;                                  // µs, most time of a first try
+
+        Learned(RequestClass kind) {
+            usual = kind.aim() / 4.0;
+        }
+    }
+
     /** A request that is owed an answer, or has attempts out. */
     static final class Request {
         final String id;
-        final int number;
-        final RequestClass kind;
+        final Learned learned;
+        final RequestClass kind;                        // as it was taken, like the limits
+        final Limits limits;
         final long key;
         final long arrived;
         final long deadline;
@@ -83,11 +96,12 @@
         boolean streaming;
         Turn turn;                                      // null where no order is asked for
 
-        Request(String id, int number, RequestClass kind, long key, long arrived, long timeLeft, long aimAt,
-                boolean overShare) {
+        Request(String id, Learned learned, RequestClass kind, Limits limits, long key, long arrived,
+                long timeLeft, long aimAt, boolean overShare) {
             this.id = id;
-            this.number = number;
+            this.learned = learned;
             this.kind = kind;
+            this.limits = limits;
             this.key = key;
             this.arrived = arrived;
             this.deadline = arrived + timeLeft;
--- a/src/main/java/junctionhead/Policy.java
+++ b/src/main/java/junctionhead/Policy.java
@@ -154,6 +154,16 @@
         }
     }
 
+    /**
+     * Other settings hold from here on; requests that are open keep those that they were taken under. Zones,
+     * machine kinds, rank, the number of balancers and how lists are learned are the same as before.
+     *
+     * @param formerClasses for each class of {@code settings} the number that it had before, or -1
+     * @param formerTenants the same for each tenant
+     */
+    void retune(long now, Settings settings, List<Integer> formerClasses, List<Integer> formerTenants,
+            Actions out);
+
     /** News of the list of servers; {@code servers} is empty for {@link ListKind#FAILED}. */
     void servers(long now, ListKind kind, List<Server> servers, Actions out);
 
--- a/src/main/java/junctionhead/SettingsReader.java
+++ b/src/main/java/junctionhead/SettingsReader.java
@@ -17,6 +17,7 @@
 public final class SettingsReader {
     private final Map<String, String> values;
     private final BiFunction<String, String, ? extends RuntimeException> complaint;
+    private String place = "BootInfo";              // what is being read, for what its own class complains of
 
     /**
      * What a balancer is started with: the module's settings, the order of values in a load report, the names
@@ -43,7 +44,7 @@
             return new Boot(in.settings(), in.list("Stats.Fields"), in.names("Classes"), in.names("Realms"),
                 in.list("Areas"), in.list("Kinds"), in.whole("Limits.IdleClose", 0L));
         } catch (IllegalArgumentException e) {
-            throw complaint.apply("BootInfo", e.getMessage());
+            throw complaint.apply(in.place, e.getMessage());
         }
     }
 
@@ -89,6 +90,7 @@
         List<Policy.RequestClass> classes = new ArrayList<>();
         for (int i = 0; i < count("Classes", true); i++) {
             String at = "Classes." + i + ".";
+            place = "Classes." + i;
             classes.add(new Policy.RequestClass(word(Policy.Effect.class, at + "Idempotency", null),
                 word(Policy.Scope.class, at + "DedupScope", "all"), whole(at + "KeyTtl", 0L),
                 whole(at + "GoalTime", null), whole(at + "GiveUp", null), decimal(at + "AimStretch", 0.0),
@@ -96,6 +98,7 @@
                 flag(at + "InOrder", false), indexes(at + "AllowedIn", zones),
                 indexes(at + "RunsOn", kinds)));
         }
+        place = "BootInfo";
         List<Policy.Tenant> tenants = new ArrayList<>();
         for (int i = 0; i < count("Realms", false); i++) {
             tenants.add(new Policy.Tenant(decimal("Realms." + i + ".AllowancePerS", null)));
--- a/src/main/java/junctionhead/config/Config.java
+++ b/src/main/java/junctionhead/config/Config.java
@@ -12,6 +12,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
+import java.util.TreeSet;
 import junctionhead.SettingsReader;
 import junctionhead.connections.Limits;
 import junctionhead.core.Addresses;
@@ -24,18 +26,18 @@
  * list of
  * upstreams is {@code known} from here alone, {@code http3} where it is off, {@code management} where
  * operators have no address to call at; {@code inherited}: clients' listening socket is descriptor 0, handed
- * down by whoever started this process.
+ * down by whoever started this process; {@code keys}: those that the file holds, for a fresh one to hold too.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
         Limits connections, Targets known, SettingsReader.Boot boot, Http3 http3,
-        InetSocketAddress management, boolean inherited) {
+        InetSocketAddress management, boolean inherited, Set<String> keys) {
     private static final Path LIMITS = Path.of("/proc/self/limits");
     private static final int SOCKETS = 1024;        // assumed where neither file nor system tells
 
     /** One without HTTP/3. */
     public Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
             Limits connections, Targets known, SettingsReader.Boot boot) {
-        this(name, listen, discovery, seed, connections, known, boot, null, null, false);
+        this(name, listen, discovery, seed, connections, known, boot, null, null, false, Set.of());
     }
 
     /** What is wrong with the configuration, in one line. */
@@ -66,12 +68,22 @@
         if (both ? !http3.sameButIdentity(fresh.http3) : http3 != fresh.http3) {
             waiting.add("http3");
         }
-        if (!fresh.boot.equals(boot)) {
-            waiting.add("settings");
-        }
         return waiting;
     }
 
+    /** This one, with what can be taken over in service from another one. */
+    public Config with(Config fresh) {
+        return new Config(name, listen, fresh.discovery, seed, connections, fresh.known, fresh.boot,
+            fresh.http3, management, inherited, fresh.keys);
+    }
+
+    /** Why nothing of another one can be taken over in service; null where it can. */
+    public String problem(Config fresh) {
+        List<String> missing = keys.stream().filter(key -> !fresh.keys.contains(key)).toList();
+        return missing.isEmpty() ? Retuning.problem(boot, fresh.boot)
+            : "missing: " + String.join(", ", missing);
+    }
+
     /** Reads the file that {@code ROUTER_CONFIG} names; the other variables win over what it says. */
     public static Config read(Map<String, String> environment) {
         String file = environment.get("ROUTER_CONFIG");
@@ -111,6 +123,12 @@
         SettingsReader.flatten("", settings, values);
         SettingsReader.Boot boot =
             SettingsReader.read(values, (path, what) -> new Bad("settings: " + path + ": " + what));
+        Set<String> keys = new TreeSet<>(Retuning.keys(values));
+        json.forEach((key, value) -> {
+            if (value != null) {
+                keys.add("/" + key);
+            }
+        });
         Targets known = new Targets(0, true, List.of());
         if (json.get("known") != null) {
             try {
@@ -125,7 +143,7 @@
         int most = Math.min(told, most());
         return new Config(name, listen, discovery, seed(json.get("seed")),
             Limits.of(most == Integer.MAX_VALUE ? SOCKETS : most), known, boot, null, management,
-            inherits(environment.get("ROUTER_INHERITED_FD")));
+            inherits(environment.get("ROUTER_INHERITED_FD")), keys);
     }
 
     // The JVM hands on descriptor 0 and no other.
--- a/src/main/java/junctionhead/config/toml/ConfigFile.java
+++ b/src/main/java/junctionhead/config/toml/ConfigFile.java
@@ -114,7 +114,7 @@
         put(wire, "Stats.How", "answers");
         SettingsReader.Boot boot = boot(top, wire, problems);
         return new Config(node.name(), node.listen(), members.address(), node.seed(), connections,
-            known(members, boot), boot, http3, node.management(), false);
+            known(members, boot), boot, http3, node.management(), false, Set.of());
     }
 
     // What the checks above let through and the model does not take: told like any other problem.
--- a/src/main/java/junctionhead/core/Dispatcher.java
+++ b/src/main/java/junctionhead/core/Dispatcher.java
@@ -30,11 +30,14 @@
         final Reply reply;
         final long deadline;
         final List<Attempt> attempts = new ArrayList<>(2);
+        final int most;                             // attempts, by the limits that it was taken under
+        Tally.Entry entry;
         int out;
         boolean closed;
         Loop.Timer guard;
 
-        Exchange(String id, Order order, Reply reply, long deadline) {
+        Exchange(String id, Order order, Reply reply, long deadline, int most) {
+            this.most = most;
             this.id = id;
             this.order = order;
             this.reply = reply;
@@ -58,7 +61,7 @@
     }
 
     private final Loop loop;
-    private final SettingsReader.Boot boot;
+    private SettingsReader.Boot boot;
     private final Policy policy;
     private final Consumer<String> log;
     private final Clock clock;
@@ -134,11 +137,12 @@
     /** Takes a request, for one final answer; returns what to run if the client leaves before it. */
     public Runnable take(Order order, Reply reply) {
         String id = Long.toString(++taken, Character.MAX_RADIX);
-        Exchange x = new Exchange(id, order, reply, now() + order.timeLeft());
+        Exchange x = new Exchange(id, order, reply, now() + order.timeLeft(),
+            boot.settings().limits().maxAttempts());
         table.put(id, x);
         ids.add(order.id());
         owed++;
-        tally.taken(order);
+        x.entry = tally.taken(order);
         x.guard = loop.after(Math.max(0, order.timeLeft() - GUARD), () -> lastResort(x));
         hand(now -> policy.request(now, id, order.requestClass(), order.tenant(), order.key(),
             Math.max(0, x.deadline - now), order.work(), order.resubmission(), this));
@@ -210,7 +214,7 @@
         long latency = now() - a.at;
         if (outcome == Policy.Outcome.OK && !x.closed) {
             close(x);
-            tally.served(x.order, x.order.timeLeft() - (x.deadline - now()));
+            tally.served(x.entry, x.order.timeLeft() - (x.deadline - now()));
             x.reply.serve(answer);
         }
         hand(now -> policy.outcome(now, x.id, a.number, outcome, latency, x.closed, load, this));
@@ -225,6 +229,23 @@
         }
     }
 
+    /**
+     * Other settings hold from here on, for the module as well; what is open keeps those it was taken under.
+     * Classes and tenants of the same name are the same.
+     */
+    public void retune(SettingsReader.Boot to) {
+        List<Integer> classes = former(to.classes(), boot.classes());
+        List<Integer> tenants = former(to.tenants(), boot.tenants());
+        boot = to;
+        tally.retune(to.settings(), classes, tenants);
+        hand(now -> policy.retune(now, to.settings(), classes, tenants, this));
+    }
+
+    // Of several by one name the first is meant: the others are former ones that are about to go.
+    private static List<Integer> former(List<String> names, List<String> before) {
+        return names.stream().map(before::indexOf).toList();
+    }
+
     /** News of the list of upstreams; null: the call or the watch has failed. */
     public void listed(Policy.ListKind kind, Targets targets) {
         if (targets != null) {
@@ -265,7 +286,7 @@
         x.out++;
         long left = x.deadline - GUARD - LAST_WORD - now;
         long wait = timeout == 0 ? left : Math.min(timeout, left);
-        boolean allowed = !x.closed && wait > 0 && a.number < boot.settings().limits().maxAttempts();
+        boolean allowed = !x.closed && wait > 0 && a.number < x.most;
         if (allowed) {
             a.timer = loop.after(wait, () -> giveUp(a, Policy.Outcome.TIMEOUT));
             a.carried = carrier.send(server, x.order, wait,
--- a/src/main/java/junctionhead/core/OrderRules.java
+++ b/src/main/java/junctionhead/core/OrderRules.java
@@ -32,17 +32,7 @@
         if (!named(id)) {
             throw new IllegalArgumentException("no or bad Req-Id");
         }
-        int number = boot.classes().indexOf(text(fields, "Req-Kind"));
-        if (number < 0) {
-            throw new IllegalArgumentException("unknown Req-Kind");
-        }
-        Policy.Effect effect = boot.settings().classes().get(number).effect();
-        String wanted = effect == Policy.Effect.SAFE ? "GET" : "POST";
-        String repeat = fields.get("Idempotency-Key");
-        if (!method.equals(wanted) || (repeat != null) != (effect == Policy.Effect.KEYED)
-                || repeat != null && !named(repeat)) {
-            throw new IllegalArgumentException("method or Idempotency-Key contradicts the Req-Kind");
-        }
+        int number = number(method, fields, boot);
         long left = number(fields.get(Order.DEADLINE), -1);
         if (left <= 0 || left > DEADLINE_MOST) {
             throw new IllegalArgumentException("no or bad " + Order.DEADLINE);
@@ -59,6 +49,25 @@
             "1".equals(fields.get("Req-Retry")));
     }
 
+    // A name stands twice where its class has changed lately: clients hear of that later than this balancer.
+    private static int number(String method, Fields fields, SettingsReader.Boot boot) {
+        String name = text(fields, "Req-Kind");
+        int number = boot.classes().indexOf(name);
+        if (number < 0) {
+            throw new IllegalArgumentException("unknown Req-Kind");
+        }
+        String repeat = fields.get("Idempotency-Key");
+        for (int i = number; i < boot.classes().size(); i++) {
+            Policy.Effect effect = boot.settings().classes().get(i).effect();
+            String wanted = effect == Policy.Effect.SAFE ? "GET" : "POST";
+            boolean fits = effect == Policy.Effect.KEYED ? repeat != null && named(repeat) : repeat == null;
+            if (boot.classes().get(i).equals(name) && method.equals(wanted) && fits) {
+                return i;
+            }
+        }
+        throw new IllegalArgumentException("method or Idempotency-Key contradicts the Req-Kind");
+    }
+
     private static String text(Fields fields, String name) {
         String value = fields.get(name);
         return value == null ? "" : value;
--- a/src/main/java/junctionhead/core/Tally.java
+++ b/src/main/java/junctionhead/core/Tally.java
@@ -1,6 +1,7 @@
 package junctionhead.core;
 
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
 import junctionhead.Policy;
 
@@ -43,10 +44,10 @@
         }
     }
 
-    private final Policy.Settings settings;
+    private Policy.Settings settings;
     private final Line all = new Line();
-    private final Line[] classes;
-    private final Line[] tenants;
+    private Line[] classes;
+    private Line[] tenants;
     private final long[] outcomes = new long[Policy.Outcome.values().length];
     private long refused;
     private long failed;
@@ -66,12 +67,30 @@
         return lines;
     }
 
+    /** A request's place in the counts: the lines and the class that it was taken under. */
+    public record Entry(Line ofClass, Line ofTenant, double worth, long aim, double lateShare) { }
+
+    /** Other settings hold from here on; the lines go on under the numbers that they have now, or begin. */
+    public void retune(Policy.Settings to, List<Integer> formerClasses, List<Integer> formerTenants) {
+        settings = to;
+        classes = carried(classes, formerClasses);
+        tenants = to.tenants().isEmpty() ? lines(1) : carried(tenants, formerTenants);
+    }
+
+    private static Line[] carried(Line[] before, List<Integer> former) {
+        return former.stream().map(i -> i < 0 ? new Line() : before[i]).toArray(Line[]::new);
+    }
+
     /** A request has been taken. */
-    public void taken(Order order) {
-        double worth = worth(order);
-        taken(all, worth);
-        taken(classes[order.requestClass()], worth);
-        taken(tenants[order.tenant()], worth);
+    public Entry taken(Order order) {
+        Policy.RequestClass kind = settings.classes().get(order.requestClass());
+        long aim = kind.aim() + (order.work() > 0 ? (long) (kind.aimStretch() * order.work()) : 0);
+        Entry entry = new Entry(classes[order.requestClass()], tenants[order.tenant()], worth(order), aim,
+            kind.lateShare());
+        taken(all, entry.worth());
+        taken(entry.ofClass(), entry.worth());
+        taken(entry.ofTenant(), entry.worth());
+        return entry;
     }
 
     private static void taken(Line line, double worth) {
@@ -80,14 +99,12 @@
     }
 
     /** It has been served, {@code latency} µs after it was taken. */
-    public void served(Order order, long latency) {
-        Policy.RequestClass kind = settings.classes().get(order.requestClass());
-        long aim = kind.aim() + (order.work() > 0 ? (long) (kind.aimStretch() * order.work()) : 0);
-        boolean inTime = latency <= aim;
-        double earned = worth(order) * (inTime ? 1 : kind.lateShare());
+    public void served(Entry entry, long latency) {
+        boolean inTime = latency <= entry.aim();
+        double earned = entry.worth() * (inTime ? 1 : entry.lateShare());
         served(all, inTime, earned);
-        served(classes[order.requestClass()], inTime, earned);
-        served(tenants[order.tenant()], inTime, earned);
+        served(entry.ofClass(), inTime, earned);
+        served(entry.ofTenant(), inTime, earned);
     }
 
     private static void served(Line line, boolean inTime, double earned) {
--- a/src/main/java/junctionhead/front/http1/ClientServer.java
+++ b/src/main/java/junctionhead/front/http1/ClientServer.java
@@ -50,7 +50,7 @@
     private static final int STRANGERS = 8;         // taken in every so often during a rehearsal
 
     private final EventLoop loop;
-    private final SettingsReader.Boot boot;
+    private SettingsReader.Boot boot;
     private final Dispatcher dispatcher;
     private final Budget budget;
     private final Consumer<String> log;
@@ -134,6 +134,11 @@
         rehearsal = with;
     }
 
+    /** Other settings hold from here on, for what comes in. */
+    public void retune(SettingsReader.Boot to) {
+        boot = to;
+    }
+
     /** Does what the life cycle says by now: takes connections or not, and ends those that rest too long. */
     public void follow() {
         makeRoom();
--- a/src/main/java/junctionhead/front/http3/Http3Server.java
+++ b/src/main/java/junctionhead/front/http3/Http3Server.java
@@ -47,7 +47,7 @@
     private static final int CONNECTION_REFUSED = 0x02;     // RFC 9000, section 20.1
 
     final EventLoop loop;
-    final SettingsReader.Boot boot;
+    SettingsReader.Boot boot;
     final Dispatcher dispatcher;
     final Room room;
     final Sessions sessions;
@@ -120,6 +120,11 @@
         return ready;
     }
 
+    /** Other settings hold from here on, for what comes in. */
+    public void retune(SettingsReader.Boot to) {
+        boot = to;
+    }
+
     /** New connections show this certificate; those that stand go on with theirs. */
     public void renew(Identity identity) {
         context = context(identity);
--- a/src/main/java/junctionhead/node/Extension.java
+++ b/src/main/java/junctionhead/node/Extension.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
+import junctionhead.SettingsReader;
 import junctionhead.config.Config;
 import junctionhead.core.Carrier;
 import junctionhead.core.Dispatcher;
@@ -41,6 +42,9 @@
         /** Takes over what can change in service. */
         void reload(Config fresh);
 
+        /** Other settings hold from here on. */
+        void retune(SettingsReader.Boot to);
+
         /** The node is about to stop: clients are told. */
         void stopping();
 
--- a/src/main/java/junctionhead/node/Node.java
+++ b/src/main/java/junctionhead/node/Node.java
@@ -19,7 +19,9 @@
 import java.util.function.Supplier;
 import junctionhead.Balance;
 import junctionhead.Policy;
+import junctionhead.SettingsReader;
 import junctionhead.config.Config;
+import junctionhead.config.Retuning;
 import junctionhead.connections.Budget;
 import junctionhead.core.Addresses;
 import junctionhead.core.Clock;
@@ -41,6 +43,7 @@
 public final class Node {
     private static final long LINGER_MS = TimeUnit.NANOSECONDS.toMillis(LifeCycle.LINGER);
     private static final long FOLLOW_MS = 50;       // between looks at what the life cycle says
+    private static final long FORMER_MS = 10_000;   // for which classes that were dropped are served
     private static final long FLUSH_MS = 20;        // for the last answers to leave
     private static final long LAST_LINES_MS = 500;  // for the last lines, if somebody reads them
 
@@ -57,7 +60,10 @@
     private final Handover handover;                // null where the listener is its own
     private final LifeCycle life = new LifeCycle(System.nanoTime());
     private final Door door;                        // null where operators have none
-    private final Config config;
+    private final Config config;                    // as it was started
+    private Config used;                            // with what has been taken over since; under this lock
+    private SettingsReader.Boot boot;               // in use, on the loop
+    private int retunings;
     private final Extension.Part extra;             // null where there is none
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final CountDownLatch readied = new CountDownLatch(1);
@@ -76,6 +82,8 @@
             Extension extension, Consumer<String> log) {
         this.rehearsed = !rehearse;
         this.config = config;
+        this.used = config;
+        this.boot = config.boot();
         this.log = log;
         budget = new Budget(config.connections(), System.nanoTime());
         Policy policy = module.apply(config.boot().settings(), config.seed());
@@ -282,30 +290,70 @@
     }
 
     /**
-     * Takes over a configuration that has been replaced: moves to its discovery. All else in it waits for a
-     * restart. One that can't be used changes nothing. Not for the loop's thread: it reads a file.
+     * Takes over a configuration that has been replaced: its settings, its discovery or list, its
+     * certificates. One that can't be used changes nothing. Not for the loop's thread: it reads a file.
      */
     synchronized void reload(Supplier<Config> read) {
         Config fresh;
+        String problem;
         try {
             fresh = read.get();
-        } catch (Config.Bad e) {
-            log.accept("configuration not taken over: " + e.getMessage());
+            problem = used.problem(fresh);
+        } catch (RuntimeException e) {      // not Bad alone: a file may hold what no check foresaw
+            log.accept("configuration not taken over: "
+                + (e instanceof Config.Bad ? e.getMessage() : e.toString()));
+            return;
+        }
+        List<String> waiting = used.waiting(fresh);
+        if (problem == null && (fixed == null) != (fresh.discovery() != null)) {
+            problem = "new " + String.join(", ", waiting) + " need a restart";
+        }
+        if (problem != null) {
+            log.accept("configuration not taken over: " + problem);
             return;
         }
-        List<String> waiting = config.waiting(fresh);
-        InetSocketAddress to = fresh.discovery();
-        String waits = waiting.isEmpty() ? "" : "; new " + String.join(", ", waiting) + " wait for a restart";
-        if (discovery != null && to != null) {
-            log.accept("configuration taken over: discovery at " + Addresses.text(to) + waits);
-            loop.execute(() -> discovery.moveTo(to));
-            reloadExtra(fresh);
-        } else if (fixed != null && to == null) {
-            log.accept("configuration taken over: " + fresh.known().list().size() + " upstreams" + waits);
-            loop.execute(() -> fixed.replace(fresh.known()));
-            reloadExtra(fresh);
-        } else {
-            log.accept("configuration not taken over: new " + String.join(", ", waiting) + " need a restart");
+        boolean other = !fresh.boot().equals(used.boot());
+        log.accept("configuration taken over: " + (fixed != null
+            ? fresh.known().list().size() + " upstreams"
+            : "discovery at " + Addresses.text(fresh.discovery()))
+            + (other ? "; settings with classes " + String.join(", ", fresh.boot().classes()) : "")
+            + (waiting.isEmpty() ? "" : "; new " + String.join(", ", waiting) + " wait for a restart"));
+        used = used.with(fresh);
+        loop.execute(() -> {
+            if (other) {
+                retune(fresh.boot());
+            }
+            if (fixed == null) {
+                discovery.moveTo(fresh.discovery());
+            } else {
+                fixed.replace(fresh.known());
+            }
+        });
+        reloadExtra(fresh);
+    }
+
+    // What was dropped is served for a while longer: clients hear of it later.
+    private void retune(SettingsReader.Boot fresh) {
+        retunings++;
+        int mine = retunings;
+        boot = Retuning.withFormer(boot, fresh);
+        tune();
+        if (!boot.equals(fresh)) {
+            loop.schedule(() -> {
+                if (mine == retunings) {
+                    boot = fresh;
+                    tune();
+                }
+            }, FORMER_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void tune() {
+        dispatcher.retune(boot);
+        upstreams.retune(boot);
+        clients.retune(boot);
+        if (extra != null) {
+            extra.retune(boot);
         }
     }
 
--- a/src/main/java/junctionhead/node/http3/Http3Extension.java
+++ b/src/main/java/junctionhead/node/http3/Http3Extension.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import junctionhead.SettingsReader;
 import junctionhead.config.Config;
 import junctionhead.core.Carrier;
 import junctionhead.front.http3.Http3Server;
@@ -82,6 +83,13 @@
             }
         }
 
+        @Override
+        public void retune(SettingsReader.Boot to) {
+            if (server != null) {
+                server.retune(to);
+            }
+        }
+
         @Override
         public void stopping() {
             if (server != null) {
--- a/src/main/java/junctionhead/upstream/Upstreams.java
+++ b/src/main/java/junctionhead/upstream/Upstreams.java
@@ -63,12 +63,12 @@
     }
 
     private final EventLoop loop;
-    private final SettingsReader.Boot boot;
+    private SettingsReader.Boot boot;
     private final Budget budget;
     private final Clock clock;
     private final Bootstrap bootstrap;
     private final SocketAddress all;                // where every upstream stands, or null
-    private final IdleRest rest;
+    private IdleRest rest;
     private final Map<String, Upstream> upstreams = new HashMap<>();
     private final Future<?> sweep;
 
@@ -101,6 +101,13 @@
         return limit > 0 ? (int) Math.max(1, Math.min(Integer.MAX_VALUE, limit / 1000)) : CONNECT_MS;
     }
 
+    /** Other settings hold from here on. */
+    public void retune(SettingsReader.Boot to) {
+        boot = to;
+        rest = new IdleRest(to.idleClose());
+        bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis());
+    }
+
     // ---------------------------------------------------------------- the list
 
     @Override
--- a/src/test/java/junctionhead/core/DispatcherTest.java
+++ b/src/test/java/junctionhead/core/DispatcherTest.java
@@ -62,6 +62,10 @@
         final List<String> told = new ArrayList<>();
         boolean silent;
 
+        @Override
+        public void retune(long now, Settings settings, List<Integer> formerClasses,
+                List<Integer> formerTenants, Actions out) { }
+
         @Override
         public void servers(long now, ListKind kind, List<Server> servers, Actions out) { }
 
--- a/src/test/java/junctionhead/node/Http3Fixture.java
+++ b/src/test/java/junctionhead/node/Http3Fixture.java
@@ -48,7 +48,7 @@
         limits.put("DialTimeout", connect);
         Config plain = config(1024, settings, 0);
         return new Config(plain.name(), plain.listen(), plain.discovery(), plain.seed(), plain.connections(),
-            plain.known(), plain.boot(), told, null, false);
+            plain.known(), plain.boot(), told, null, false, java.util.Set.of());
     }
 
     @Override
--- a/src/test/java/junctionhead/node/NodeFixture.java
+++ b/src/test/java/junctionhead/node/NodeFixture.java
@@ -31,6 +31,12 @@
         volatile String server = "s1";
         volatile Policy.Actions actions;
 
+        @Override
+        public void retune(long now, Settings settings, List<Integer> formerClasses,
+                List<Integer> formerTenants, Actions out) {
+            told.add("retuned " + formerClasses);
+        }
+
         @Override
         public void servers(long now, ListKind kind, List<Server> servers, Actions out) {
             actions = out;
