Bodies over 64 KiB go through in both directions, with backpressure from side to side

Uploads count from their last byte and go again only while nothing was passed on; a long answer is OK with its first bytes.

--- a/src/main/java/junctionhead/core/Answer.java
+++ b/src/main/java/junctionhead/core/Answer.java
@@ -2,8 +2,16 @@
 
 import junctionhead.Policy;
 
-/** An upstream's whole answer, whatever the protocol that it came by; {@code body} is not to be changed. */
-public record Answer(int status, Fields fields, byte[] body) {
+/**
+ * An upstream's answer, whatever the protocol that it came by; {@code body} is not to be changed. Where it is
+ * long {@code rest} follows behind that, and {@code length} is that of both, -1 if unknown.
+ */
+public record Answer(int status, Fields fields, byte[] body, Stream rest, long length) {
+    /** A whole one. */
+    public Answer(int status, Fields fields, byte[] body) {
+        this(status, fields, body, null, body.length);
+    }
+
     /**
      * What it tells of the attempt. Turned away unseen only where the upstream says so itself; any other
      * failure may have run.
--- a/src/main/java/junctionhead/core/Dispatcher.java
+++ b/src/main/java/junctionhead/core/Dispatcher.java
@@ -28,7 +28,8 @@
         final String id;
         final Order order;
         final Reply reply;
-        final long deadline;
+        long deadline;
+        boolean arriving;                           // its last byte has not come yet
         final List<Attempt> attempts = new ArrayList<>(2);
         final int most;                             // attempts, by the limits that it was taken under
         Tally.Entry entry;
@@ -48,7 +49,8 @@
     private static final class Attempt {
         final Exchange exchange;
         final int number;
-        final long at;
+        long at;
+        long wait;
         Carrier.Attempt carried;
         Loop.Timer timer;
         boolean ended;
@@ -135,20 +137,92 @@
     }
 
     /** Takes a request, for one final answer; returns what to run if the client leaves before it. */
-    public Runnable take(Order order, Reply reply) {
+    public Runnable take(Order asked, Reply reply) {
         String id = Long.toString(++taken, Character.MAX_RADIX);
+        Upload upload = asked.rest() == null ? null : new Upload(asked.rest());
+        Order order = upload == null ? asked : asked.passing(upload, asked.length());
         Exchange x = new Exchange(id, order, reply, now() + order.timeLeft(),
             boot.settings().limits().maxAttempts());
         table.put(id, x);
         ids.add(order.id());
         owed++;
         x.entry = tally.taken(order);
-        x.guard = loop.after(Math.max(0, order.timeLeft() - GUARD), () -> lastResort(x));
+        if (upload == null) {
+            guard(x);
+        } else {
+            x.arriving = true;
+            upload.then = () -> arrived(x);
+        }
         hand(now -> policy.request(now, id, order.requestClass(), order.tenant(), order.key(),
             Math.max(0, x.deadline - now), order.work(), order.resubmission(), this));
         return () -> gone(x);
     }
 
+    private void guard(Exchange x) {
+        x.guard = loop.after(Math.max(0, x.order.timeLeft() - GUARD), () -> lastResort(x));
+    }
+
+    // A request's time counts from its last byte, and so does what is waited for its attempt.
+    private void arrived(Exchange x) {
+        x.arriving = false;
+        if (!x.closed) {
+            x.deadline = now() + x.order.timeLeft();
+            guard(x);
+            for (Attempt a : x.attempts) {
+                if (!a.ended) {
+                    a.at = now();
+                    a.timer = loop.after(a.wait, () -> giveUp(a, Policy.Outcome.TIMEOUT));
+                }
+            }
+        }
+    }
+
+    /** A client's long body on its way to the upstream; tells when its last byte has come. */
+    private static final class Upload implements Stream {
+        private final Stream from;
+        private Runnable then;
+
+        Upload(Stream from) {
+            this.from = from;
+        }
+
+        @Override
+        public boolean started() {
+            return from.started();
+        }
+
+        @Override
+        public void to(Taker taker) {
+            from.to(new Taker() {
+                @Override
+                public void piece(byte[] bytes) {
+                    taker.piece(bytes);
+                }
+
+                @Override
+                public void ended() {
+                    then.run();
+                    taker.ended();
+                }
+
+                @Override
+                public void broken() {
+                    taker.broken();
+                }
+            });
+        }
+
+        @Override
+        public void pull(boolean room) {
+            from.pull(room);
+        }
+
+        @Override
+        public void drop() {
+            from.drop();
+        }
+    }
+
     /** Whether a request by that name of its client's is open, or an attempt of it. */
     public boolean holds(String id) {
         return ids.contains(id);
@@ -185,7 +259,9 @@
 
     private void close(Exchange x) {
         x.closed = true;
-        x.guard.cancel();
+        if (x.guard != null) {
+            x.guard.cancel();
+        }
         owed--;
         if (owed == 0 && whenIdle != null) {
             loop.soon(whenIdle);
@@ -216,6 +292,8 @@
             close(x);
             tally.served(x.entry, x.order.timeLeft() - (x.deadline - now()));
             x.reply.serve(answer);
+        } else if (answer != null && answer.rest() != null) {
+            answer.rest().drop();                   // nobody waits for it any more
         }
         hand(now -> policy.outcome(now, x.id, a.number, outcome, latency, x.closed, load, this));
         forget(x);
@@ -284,11 +362,15 @@
         Attempt a = new Attempt(x, x.attempts.size(), now);
         x.attempts.add(a);
         x.out++;
-        long left = x.deadline - GUARD - LAST_WORD - now;
+        long left = (x.arriving ? x.order.timeLeft() : x.deadline - now) - GUARD - LAST_WORD;
         long wait = timeout == 0 ? left : Math.min(timeout, left);
-        boolean allowed = !x.closed && wait > 0 && a.number < x.most;
+        boolean allowed = !x.closed && wait > 0 && a.number < x.most
+            && (x.order.rest() == null || !x.order.rest().started());
         if (allowed) {
-            a.timer = loop.after(wait, () -> giveUp(a, Policy.Outcome.TIMEOUT));
+            a.wait = wait;
+            if (!x.arriving) {
+                a.timer = loop.after(wait, () -> giveUp(a, Policy.Outcome.TIMEOUT));
+            }
             a.carried = carrier.send(server, x.order, wait,
                 (outcome, answer, load) -> ended(a, outcome, answer, load));
         } else {
--- a/src/main/java/junctionhead/front/http1/Client.java
+++ b/src/main/java/junctionhead/front/http1/Client.java
@@ -3,10 +3,15 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -15,11 +20,14 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 import junctionhead.connections.Lease;
+import junctionhead.core.Answer;
+import junctionhead.core.Stream;
 
 /**
  * One connection of a client: its requests one after the other, each one's answer in turn, and how long it
@@ -28,12 +36,15 @@
 final class Client extends ChannelInboundHandlerAdapter implements Intake.Taker {
     // A client is owed an error or a close within 3 s: the look at all clients comes on top of this. How long
     // one may be silent or at rest, and linger after its last answer, is the budget's.
-    private static final long RECEIVE = TimeUnit.MILLISECONDS.toNanos(2_000);   // a whole request
+    private static final long HEAD = TimeUnit.MILLISECONDS.toNanos(2_400);      // a head
+    private static final long BODY = TimeUnit.MILLISECONDS.toNanos(2_000);      // a body that is held whole
     private static final long UNREAD = TimeUnit.MILLISECONDS.toNanos(5_000);    // answers that nobody reads
+    private static final long STALLED = TimeUnit.MILLISECONDS.toNanos(15_000); // a long body's progress
+    private static final WriteBufferWaterMark WINDOW = new WriteBufferWaterMark(32 << 10, 64 << 10);
     private static final int LINGER_BYTES = 64 * 1024;
     private static final int AHEAD_MOST = 16;       // requests that may be sent ahead
 
-    private record Taken(HttpRequest head, byte[] body) { }
+    private record Taken(HttpRequest head, byte[] body, Stream rest, long length) { }
 
     private final ClientServer server;
     private final Channel channel;
@@ -45,6 +56,10 @@
     private int charged;                            // bytes of the request that is being answered
     private boolean serving;                        // a request is being answered
     private boolean receiving;                      // part of a request has come in
+    private boolean headed;                         // its head has
+    private Outflow outflow;                        // of a long answer, until its last byte
+    private long moved;                             // of long bodies: bytes when last looked at
+    private long movedAt;
     private boolean ending;                         // the last answer has been written
     private long since = System.nanoTime();         // the beginning of the receipt
     private final Lease lease;                      // what it has of the budget
@@ -62,15 +77,31 @@
         return lease;
     }
 
+    boolean passes() {
+        return outflow != null;
+    }
+
     void close() {
         channel.close();
     }
 
     /** Ends what takes too long. Guards against peers that say nothing, or a byte now and then. */
     void look(long now) {
-        if (!ending && receiving && channel.config().isAutoRead() && now - since > RECEIVE) {
+        if (!ending && receiving && channel.config().isAutoRead() && now - since > (headed ? BODY : HEAD)) {
             bad(HttpResponseStatus.REQUEST_TIMEOUT, "too slow");
         }
+        if (intake.flows() || outflow != null) {
+            long out = outflow == null ? 0 : outflow.passed - channel.bytesBeforeWritable();
+            long bytes = intake.flown() + out;
+            if (bytes != moved || intake.flows() && !channel.config().isAutoRead()) {
+                moved = bytes;
+                movedAt = now;
+            } else if (now - movedAt > STALLED) {
+                close();
+            }
+            unreadSince = 0;
+            return;
+        }
         if (channel.isWritable()) {
             unreadSince = 0;
         } else if (unreadSince == 0) {
@@ -81,17 +112,21 @@
     }
 
     void closed() {
+        Runnable left = gone;
+        gone = null;
+        if (left != null) {
+            left.run();
+        }
         intake.drop();
+        if (outflow != null) {
+            outflow.rest.drop();
+            outflow = null;
+        }
         server.room().give(charged);
         charged = 0;
         while (!ahead.isEmpty()) {
             server.room().give(ahead.poll().body().length);
         }
-        Runnable left = gone;
-        gone = null;
-        if (left != null) {
-            left.run();
-        }
     }
 
     // ---------------------------------------------------------------- what comes in
@@ -102,6 +137,8 @@
             receiving = true;
             since = System.nanoTime();
         }
+        headed = true;
+        since = System.nanoTime();
         if (HttpUtil.is100ContinueExpected(head) && !serving) {
             channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                 HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
@@ -110,7 +147,19 @@
 
     @Override
     public void whole(HttpRequest head, byte[] body) {
+        come(new Taken(head, body, null, body.length));
+    }
+
+    @Override
+    public void flowing(HttpRequest head, byte[] first, Stream rest, long length) {
+        movedAt = System.nanoTime();
+        come(new Taken(head, first, rest, length));
+    }
+
+    private void come(Taken taken) {
+        byte[] body = taken.body();
         receiving = false;
+        headed = false;
         if (lease.ending()) {
             return;                                 // behind the end: its client asks elsewhere
         }
@@ -120,11 +169,11 @@
             server.room().give(body.length);
             bad(HttpResponseStatus.BAD_REQUEST, "too many requests sent ahead");
         } else if (serving || !channel.isWritable()) {
-            ahead.add(new Taken(head, body));
+            ahead.add(taken);
             // Whoever sends that many ahead is not read until answers have left.
             channel.config().setAutoRead(ahead.size() < AHEAD_MOST);
         } else {
-            serve(new Taken(head, body));
+            serve(taken);
         }
     }
 
@@ -159,6 +208,9 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (outflow != null) {
+            outflow.rest.pull(channel.isWritable());
+        }
         if (channel.isWritable()) {
             next();
         }
@@ -174,7 +226,7 @@
     private void serve(Taken request) {
         serving = true;
         charged = request.body().length;
-        server.serve(this, request.head(), request.body());
+        server.serve(this, request.head(), request.body(), request.rest(), request.length());
     }
 
     /** The module owes an answer from here on; {@code left} runs if the client leaves before it. */
@@ -194,7 +246,7 @@
         server.room().give(charged);
         charged = 0;
         boolean more = receiving || problem != null || decoder.holdsMore();
-        boolean stay = server.budget().answered(lease, keep && server.keeps(), more,
+        boolean stay = server.budget().answered(lease, keep && server.keeps() && !intake.flows(), more,
             System.nanoTime());
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
         if (type != null) {
@@ -216,7 +268,11 @@
             intake.drop();
             channel.pipeline().replace(decoder, null, new Drain());
         }
-        var written = channel.writeAndFlush(response);
+        end(channel.writeAndFlush(response), stay, more);
+    }
+
+    // Its last byte has been written.
+    private void end(ChannelFuture written, boolean stay, boolean more) {
         if (stay) {
             serving = false;
             if (more && problem == null && !receiving && ahead.isEmpty()) {
@@ -231,6 +287,88 @@
         }
     }
 
+    /** Begins a long answer: its head and what is there of it; the rest follows as the client takes it. */
+    void pass(Answer answer, boolean keep, boolean old) {
+        gone = null;
+        server.room().give(charged);
+        charged = 0;
+        boolean framed = answer.length() >= 0 || !old;  // HTTP/1.0 knows no chunks: RFC 9112, 6.1
+        boolean wanted = keep && server.keeps() && !intake.flows() && framed;
+        DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        if (answer.type() != null) {
+            head.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.type());
+        }
+        if (answer.length() >= 0) {
+            head.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.length());
+        } else if (framed) {
+            head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        }
+        if (!wanted) {
+            head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        channel.config().setWriteBufferWaterMark(WINDOW);
+        outflow = new Outflow(answer.rest(), wanted);
+        movedAt = System.nanoTime();
+        channel.write(head);
+        channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(answer.body())));
+        answer.rest().to(outflow);
+    }
+
+    /** A long answer on its way to the client. */
+    private final class Outflow implements Stream.Taker {
+        private final Stream rest;
+        private final boolean wanted;
+        private long passed;
+        private boolean flushing;
+
+        Outflow(Stream rest, boolean wanted) {
+            this.rest = rest;
+            this.wanted = wanted;
+        }
+
+        @Override
+        public void piece(byte[] bytes) {
+            passed += bytes.length;
+            channel.write(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+            if (!flushing) {                        // once for all that one turn has read
+                flushing = true;
+                channel.eventLoop().execute(() -> {
+                    flushing = false;
+                    channel.flush();
+                });
+            }
+            if (!channel.isWritable()) {
+                rest.pull(false);
+            }
+        }
+
+        @Override
+        public void ended() {
+            if (outflow != this) {
+                return;
+            }
+            outflow = null;
+            boolean more = receiving || problem != null || decoder.holdsMore();
+            boolean stay = server.budget().answered(lease, wanted, more, System.nanoTime());
+            if (!stay && problem == null) {
+                problem = new RequestRules.Problem(HttpResponseStatus.OK, "over");
+                intake.drop();
+                channel.pipeline().replace(decoder, null, new Drain());
+            }
+            end(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), stay, more);
+        }
+
+        // A reset: it can't be taken for whole, whatever frames it.
+        @Override
+        public void broken() {
+            if (outflow == this) {
+                outflow = null;
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                close();
+            }
+        }
+    }
+
     // Later, and not from within: a long line of requests that are answered at once would fill the stack, and
     // keep all others waiting.
     private void next() {
@@ -246,7 +384,7 @@
                 } else if (problem != null) {
                     plain(problem.status(), problem.text(), false);
                 }
-                if (!channel.config().isAutoRead()) {
+                if (!channel.config().isAutoRead() && !intake.flows()) {
                     since = System.nanoTime();      // what had begun to come in was kept waiting here
                     channel.config().setAutoRead(true);
                 }
@@ -258,7 +396,7 @@
     private final class Mark extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext context, Object part) {
-            if (!receiving && !ending) {
+            if (!receiving && !ending && !intake.flows()) {
                 receiving = true;
                 since = System.nanoTime();
                 server.budget().receiving(lease, since);
--- a/src/main/java/junctionhead/front/http1/ClientServer.java
+++ b/src/main/java/junctionhead/front/http1/ClientServer.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.UnixDomainSocketAddress;
@@ -37,6 +38,7 @@
 import junctionhead.core.OrderRules;
 import junctionhead.core.Reply;
 import junctionhead.core.Room;
+import junctionhead.core.Stream;
 import junctionhead.http1.Http1Fields;
 import junctionhead.service.LifeCycle;
 
@@ -46,6 +48,8 @@
     private static final int ACCEPTS = 4;           // at once: between them the budget is asked again
     private static final long LOOK_MS = 200;        // between looks at what takes too long
     private static final long AGAIN_MS = 20;        // while new connections wait to be accepted
+    private static final int READ_MOST = 32 << 10;  // bytes at once
+    private static final int READS = 4;             // in one turn: none keeps the others waiting
     private static final int CLOSES = 8;            // of those at rest, in one turn of the loop
     private static final int STRANGERS = 8;         // taken in every so often during a rehearsal
 
@@ -102,6 +106,8 @@
                 })
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR,
+                    new AdaptiveRecvByteBufAllocator(64, 2_048, READ_MOST).maxMessagesPerRead(READS))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -194,6 +200,11 @@
         }
     }
 
+    /** Whether a long answer is on its way. */
+    public boolean passes() {
+        return clients.stream().anyMatch(Client::passes);
+    }
+
     /** How many connections clients hold here. */
     public int open() {
         return clients.size();
@@ -257,7 +268,7 @@
 
     // ---------------------------------------------------------------- requests
 
-    void serve(Client client, HttpRequest request, byte[] body) {
+    void serve(Client client, HttpRequest request, byte[] body, Stream rest, long length) {
         boolean keep = HttpUtil.isKeepAlive(request);
         String path = request.uri();
         Http1Fields fields = new Http1Fields(request.headers());
@@ -275,7 +286,8 @@
         } else {
             Order order;
             try {
-                order = OrderRules.order(request.method().name(), path, fields, body, boot);
+                order = OrderRules.order(request.method().name(), path, fields, body, boot)
+                    .passing(rest, length);
                 fields.endToEnd();
             } catch (IllegalArgumentException e) {
                 client.refuse(HttpResponseStatus.BAD_REQUEST, e.getMessage());
@@ -287,7 +299,8 @@
                 client.refuse(HttpResponseStatus.CONFLICT, "a request with this Req-Id is open");
                 return;
             }
-            OneAnswer answer = new OneAnswer(client, keep);
+            OneAnswer answer = new OneAnswer(client, keep,
+                request.protocolVersion().equals(HttpVersion.HTTP_1_0));
             Runnable leave =
                 to.take(path.equals(Drill.PATH) ? order.to(Drill.HOP) : order, answer);
             if (!answer.given) {
@@ -300,9 +313,11 @@
     private static final class OneAnswer implements Reply {
         private final Client client;
         private final boolean keep;
+        private final boolean old;                  // HTTP/1.0
         private boolean given;
 
-        OneAnswer(Client client, boolean keep) {
+        OneAnswer(Client client, boolean keep, boolean old) {
+            this.old = old;
             this.client = client;
             this.keep = keep;
         }
@@ -310,6 +325,10 @@
         @Override
         public void serve(Answer answer) {
             given = true;
+            if (answer.rest() != null) {
+                client.pass(answer, keep, old);
+                return;
+            }
             client.write(HttpResponseStatus.OK, Unpooled.wrappedBuffer(answer.body()), answer.type(), null,
                 null, keep);
         }
--- a/src/main/java/junctionhead/front/http1/Intake.java
+++ b/src/main/java/junctionhead/front/http1/Intake.java
@@ -2,16 +2,21 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.ArrayDeque;
 import java.util.Arrays;
 import junctionhead.core.Order;
 import junctionhead.core.Room;
+import junctionhead.core.Stream;
 
 /**
  * Puts a client's requests together, each whole and copied off the socket's buffers. What is too long, or
@@ -25,6 +30,9 @@
 
         void whole(HttpRequest head, byte[] body);
 
+        /** A long one: {@code rest} follows behind {@code first}; {@code length}: of both, -1 if unknown. */
+        void flowing(HttpRequest head, byte[] first, Stream rest, long length);
+
         void bad(HttpResponseStatus status, String why);
     }
 
@@ -34,6 +42,7 @@
     private byte[] body;
     private int length;
     private boolean over;
+    private Inflow inflow;                          // of a long body, until its last byte
 
     Intake(Taker taker, Room room) {
         this.taker = taker;
@@ -57,10 +66,18 @@
             body = new byte[0];
             length = 0;
             taker.begun(request);
+            long told = HttpUtil.getContentLength(request, -1L);
+            if (!over && told > Order.BODY_MOST) {
+                flow(context.channel(), told);
+            }
         }
-        if (!over && part instanceof HttpContent content) {
-            add(content.content());
-            if (!over && part instanceof LastHttpContent) {
+        if (!over && inflow != null && part instanceof HttpContent content) {
+            inflow.more(content.content(), part instanceof LastHttpContent);
+        } else if (!over && part instanceof HttpContent content) {
+            add(context.channel(), content.content());
+            if (!over && inflow != null && part instanceof LastHttpContent) {
+                inflow.more(Unpooled.EMPTY_BUFFER, true);
+            } else if (!over && part instanceof LastHttpContent) {
                 HttpRequest request = head;
                 head = null;
                 byte[] all = body.length == length ? body : Arrays.copyOf(body, length);
@@ -70,12 +87,19 @@
         }
     }
 
-    private void add(ByteBuf more) {
+    private void add(Channel channel, ByteBuf more) {
         int bytes = more.readableBytes();
         if (bytes == 0) {
             return;
         }
-        if (length + bytes > Order.BODY_MOST || !room.take(bytes)) {
+        if (length + bytes > Order.BODY_MOST) {
+            flow(channel, -1);
+            if (inflow != null) {                   // not refused at once
+                inflow.more(more, false);
+            }
+            return;
+        }
+        if (!room.take(bytes)) {
             refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "too large");
             return;
         }
@@ -90,6 +114,96 @@
         length += bytes;
     }
 
+    private void flow(Channel channel, long told) {
+        HttpRequest request = head;
+        byte[] held = Arrays.copyOf(body, length);
+        head = null;
+        body = null;
+        room.give(length);
+        inflow = new Inflow(channel);
+        taker.flowing(request, held, inflow, told);
+    }
+
+    /** Whether the last byte of a long body has not come yet. */
+    boolean flows() {
+        return inflow != null;
+    }
+
+    /** Bytes of the present long body so far. */
+    long flown() {
+        return inflow == null ? 0 : inflow.bytes;
+    }
+
+    /** What follows of a long body. Until it has a taker nothing more is read. */
+    private final class Inflow implements Stream {
+        private final Channel channel;
+        private final ArrayDeque<byte[]> held = new ArrayDeque<>();
+        private Taker to;
+        private boolean whole;
+        private long bytes;
+
+        Inflow(Channel channel) {
+            this.channel = channel;
+        }
+
+        @Override
+        public boolean started() {
+            return to != null;
+        }
+
+        @Override
+        public void to(Taker taker) {
+            if (to != null) {
+                throw new IllegalStateException("taken before");
+            }
+            to = taker;
+            pull(true);
+            while (!held.isEmpty()) {
+                to.piece(held.poll());
+            }
+            if (whole) {
+                to.ended();
+            }
+        }
+
+        @Override
+        public void pull(boolean now) {
+            channel.config().setAutoRead(now);
+        }
+
+        @Override
+        public void drop() {
+            pull(true);                             // its client may have to finish before it reads
+        }
+
+        private void more(ByteBuf more, boolean last) {
+            bytes += more.readableBytes();
+            if (bytes > Order.LENGTH_MOST) {
+                refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "too large");
+                return;
+            }
+            if (to == null) {
+                pull(false);
+                held.add(ByteBufUtil.getBytes(more));
+            } else if (more.isReadable()) {
+                to.piece(ByteBufUtil.getBytes(more));
+            }
+            if (last) {
+                whole = true;
+                inflow = null;
+                if (to != null) {
+                    to.ended();
+                }
+            }
+        }
+
+        private void broken() {
+            if (to != null) {
+                to.broken();
+            }
+        }
+    }
+
     private void refuse(HttpResponseStatus status, String why) {
         drop();
         taker.bad(status, why);
@@ -103,5 +217,10 @@
         }
         head = null;
         body = null;
+        Inflow left = inflow;
+        inflow = null;
+        if (left != null) {
+            left.broken();
+        }
     }
 }
--- a/src/main/java/junctionhead/front/http1/RequestRules.java
+++ b/src/main/java/junctionhead/front/http1/RequestRules.java
@@ -36,7 +36,7 @@
         if (length < 0) {
             return bad("bad Content-Length");
         }
-        if (length > Order.BODY_MOST) {
+        if (length > Order.LENGTH_MOST) {
             return new Problem(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "too large");
         }
         String expected = request.headers().get(HttpHeaderNames.EXPECT);
--- a/src/main/java/junctionhead/node/Node.java
+++ b/src/main/java/junctionhead/node/Node.java
@@ -454,14 +454,7 @@
             if (extra != null) {
                 extra.close();
             }
-            dispatcher.whenIdle(() -> {
-                if (extra == null) {
-                    loop.schedule(stopped::countDown, FLUSH_MS, TimeUnit.MILLISECONDS);
-                    return;
-                }
-                loop.schedule(extra::end, FLUSH_MS, TimeUnit.MILLISECONDS);
-                loop.schedule(stopped::countDown, 2 * FLUSH_MS, TimeUnit.MILLISECONDS);
-            });
+            dispatcher.whenIdle(this::end);
         }, LINGER_MS, TimeUnit.MILLISECONDS);
         await();
         log.accept("stopped: " + dispatcher.summary() + "; " + budget.summary());
@@ -470,6 +463,18 @@
         }
     }
 
+    // Once no final answer is owed and no long one is under way.
+    private void end() {
+        if (clients.passes()) {
+            loop.schedule(this::end, FLUSH_MS, TimeUnit.MILLISECONDS);
+        } else if (extra == null) {
+            loop.schedule(stopped::countDown, FLUSH_MS, TimeUnit.MILLISECONDS);
+        } else {
+            loop.schedule(extra::end, FLUSH_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(stopped::countDown, 2 * FLUSH_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void await() {
         try {
             stopped.await();
--- a/src/main/java/junctionhead/upstream/AnswerReader.java
+++ b/src/main/java/junctionhead/upstream/AnswerReader.java
@@ -2,6 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -22,6 +24,7 @@
 import java.util.List;
 import junctionhead.core.Answer;
 import junctionhead.core.Order;
+import junctionhead.core.Stream;
 import junctionhead.http1.Http1Fields;
 
 /**
@@ -30,6 +33,7 @@
  */
 final class AnswerReader extends SimpleChannelInboundHandler<HttpObject> {
     private static final int HEAD_MOST = 8 * 1024;
+    private static final int PIECE = 32 * 1024;     // bytes that are handed on at once
     private static final int HINTS_MOST = 8;        // 1xx answers ahead of one
 
     /** Whom it tells, once for each request. */
@@ -37,6 +41,18 @@
         /** {@code usable}: the connection may carry another request. */
         void answered(Answer answer, boolean usable);
 
+        /** Whether a long answer may be passed on as it comes. */
+        boolean passes();
+
+        /** A long answer has begun. */
+        void began(Answer answer);
+
+        /** It has ended, whole; {@code usable}: the connection may carry another request. */
+        void passed(boolean usable);
+
+        /** The connection takes bytes again, or takes none for now. */
+        void writable(boolean now);
+
         /** Nothing more can be read here. */
         void spoilt();
     }
@@ -48,9 +64,12 @@
     private HttpResponse head;
     private byte[] body;
     private int length;
+    private boolean passed;                         // whole, told at the end of the read
     private int hints;
     private boolean hint;                           // within a 1xx answer
     private Answer whole;                           // told at the end of the read
+    private Rest rest;                              // of a long answer that is passed on
+    private Channel channel;
 
     AnswerReader(Taker taker) {
         this.taker = taker;
@@ -71,7 +90,7 @@
         if (spoilt) {
             return;
         }
-        if (whole != null || !part.decoderResult().isSuccess()) {
+        if (whole != null || rest != null && rest.ended || !part.decoderResult().isSuccess()) {
             spoil();                                // a second answer, or one that can't be read
             return;
         }
@@ -82,7 +101,11 @@
             boolean last = part instanceof LastHttpContent;
             if (hint) {
                 hint = !last;                       // the answer itself is still to come
-            } else if (add(content.content()) && last) {
+            } else if (rest != null) {
+                rest.more(content.content(), last);
+            } else if (add(content.content()) && last && rest != null) {
+                rest.more(Unpooled.EMPTY_BUFFER, true);
+            } else if (!spoilt && rest == null && last) {
                 whole = new Answer(head.status().code(), new Http1Fields(head.headers()),
                     body.length == length ? body : Arrays.copyOf(body, length));
             }
@@ -104,8 +127,13 @@
         boolean chunked = codings.size() == 1 && codings.get(0).strip().equalsIgnoreCase("chunked");
         // One whose end shows only in the end of the connection can't be told from one cut short.
         boolean ends = codings.isEmpty() ? HttpUtil.isContentLengthSet(answer) : chunked;
-        if (!ends || HttpUtil.getContentLength(answer, 0L) > Order.BODY_MOST) {
+        boolean never = answer.status().equals(HttpResponseStatus.NO_CONTENT)
+            || answer.status().equals(HttpResponseStatus.NOT_MODIFIED);
+        long told = HttpUtil.getContentLength(answer, -1L);
+        if (!ends && !never || told > (passes() ? Order.LENGTH_MOST : Order.BODY_MOST)) {
             spoil();
+        } else if (told > Order.BODY_MOST) {
+            pass(told);
         }
     }
 
@@ -113,8 +141,13 @@
     private boolean add(ByteBuf more) {
         int bytes = more.readableBytes();
         if (length + bytes > Order.BODY_MOST) {
-            spoil();
-            return false;
+            if (!passes()) {
+                spoil();
+                return false;
+            }
+            pass(-1);
+            rest.more(more, false);
+            return true;
         }
         if (length == 0) {
             body = ByteBufUtil.getBytes(more);
@@ -128,11 +161,95 @@
         return true;
     }
 
+    private boolean passes() {
+        return head.status().equals(HttpResponseStatus.OK) && taker.passes();
+    }
+
+    private void pass(long told) {
+        rest = new Rest();
+        byte[] held = Arrays.copyOf(body, length);
+        body = null;
+        taker.began(new Answer(head.status().code(), new Http1Fields(head.headers()), held, rest, told));
+    }
+
+    /** The connection has ended; what is under way breaks off. */
+    void ended() {
+        if (rest != null && !rest.ended) {
+            rest.ended = true;
+            rest.to.broken();
+        }
+    }
+
+    /** What follows of a long answer. */
+    private final class Rest implements Stream {
+        private Taker to;
+        private boolean ended;
+
+        @Override
+        public boolean started() {
+            return to != null;
+        }
+
+        @Override
+        public void to(Taker taker) {
+            if (to != null) {
+                throw new IllegalStateException("taken before");
+            }
+            to = taker;
+        }
+
+        @Override
+        public void pull(boolean room) {
+            channel.config().setAutoRead(room);
+        }
+
+        @Override
+        public void drop() {
+            if (!ended) {
+                ended = true;
+                spoilt = true;
+                taker.spoilt();
+            }
+        }
+
+        private void more(ByteBuf bytes, boolean last) {
+            if (to == null || spoilt) {
+                return;                             // nobody took it: dropped
+            }
+            if (bytes.isReadable()) {
+                to.piece(ByteBufUtil.getBytes(bytes));
+            }
+            if (last && !ended) {
+                ended = true;
+                passed = true;
+                to.ended();
+            }
+        }
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        channel = context.channel();
+        context.fireChannelActive();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        taker.writable(context.channel().isWritable());
+        context.fireChannelWritabilityChanged();
+    }
+
     // Only at the end of a read is it known whether anything came behind the answer. Guards against a second
     // copy right behind: with the connection in use again at once, it was taken for the next one's answer.
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        if (whole != null) {
+        if (passed) {
+            passed = false;
+            rest = null;
+            expecting = false;
+            channel.config().setAutoRead(true);
+            taker.passed(!spoilt && !decoder.leftOver() && HttpUtil.isKeepAlive(head));
+        } else if (whole != null) {
             Answer told = whole;
             whole = null;
             expecting = false;
@@ -144,7 +261,7 @@
     private void spoil() {
         spoilt = true;
         body = null;
-        if (whole == null) {
+        if (whole == null && !passed) {
             taker.spoilt();
         }
     }
@@ -156,7 +273,7 @@
 
     private final class Decoder extends HttpResponseDecoder {
         Decoder() {
-            super(new HttpDecoderConfig().setMaxHeaderSize(HEAD_MOST));
+            super(new HttpDecoderConfig().setMaxHeaderSize(HEAD_MOST).setMaxChunkSize(PIECE));
         }
 
         boolean leftOver() {
--- a/src/main/java/junctionhead/upstream/Upstreams.java
+++ b/src/main/java/junctionhead/upstream/Upstreams.java
@@ -2,21 +2,27 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioDomainSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -43,12 +49,16 @@
 import junctionhead.core.DrainGrace;
 import junctionhead.core.Fields;
 import junctionhead.core.Order;
+import junctionhead.core.Stream;
 import junctionhead.core.Targets;
 import junctionhead.http1.Http1Fields;
 
 /** The connections to the upstreams, one request at a time on each, and what becomes of each request. */
 public final class Upstreams implements Carrier {
     private static final AsciiString DEADLINE = AsciiString.cached(Order.DEADLINE);
+    private static final WriteBufferWaterMark WINDOW = new WriteBufferWaterMark(32 << 10, 64 << 10);
+    private static final int READS = 4;             // in one turn: none keeps the others waiting
+    private static final int READ_MOST = 32 << 10;
     private static final int CONNECT_MS = 1_000;    // where the settings give no limit
 
     private static final class Upstream {
@@ -86,7 +96,9 @@
         this.clock = clock;
         this.rest = new IdleRest(boot.idleClose());
         this.bootstrap = new Bootstrap().group(loop)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis());
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis())
+            .option(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(64, 2_048, READ_MOST)
+                .maxMessagesPerRead(READS));
         if (all == null) {
             bootstrap.channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
         } else {
@@ -294,11 +306,20 @@
             }
         }
 
-        private FullHttpRequest message(InetSocketAddress to) {
+        private HttpRequest message(InetSocketAddress to) {
             HttpHeaders headers = Http1Fields.of(order.fields(), Addresses.text(to));
             if (waitMillis > 0) {
                 headers.set(DEADLINE, Long.toString(waitMillis));
             }
+            if (order.rest() != null) {
+                if (order.length() < 0) {
+                    headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+                } else {
+                    headers.set(HttpHeaderNames.CONTENT_LENGTH, order.length());
+                }
+                return new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(order.method()),
+                    order.uri(), headers);
+            }
             if (order.body().length > 0 || !order.method().equals("GET")) {
                 headers.set(HttpHeaderNames.CONTENT_LENGTH, order.body().length);
             }
@@ -317,6 +338,7 @@
         private Call call;
         private boolean begun;                      // some of the request may have been written
         private boolean written;                    // all of it has been
+        private boolean passing;                    // a long answer, whose call is over
         private long idleSince;
 
         Connection(Upstream upstream) {
@@ -336,7 +358,15 @@
             written = false;
             budget.asked(lease, System.nanoTime());
             reader.expect();
-            channel.writeAndFlush(next.message(endpoint)).addListener(done -> {
+            if (next.order.rest() != null) {
+                upload(next);
+                return;
+            }
+            sent(next, channel.writeAndFlush(next.message(endpoint)));
+        }
+
+        private void sent(Call next, ChannelFuture last) {
+            last.addListener(done -> {
                 if (call == next) {
                     written = done.isSuccess();
                     if (!written) {
@@ -347,6 +377,77 @@
             });
         }
 
+        // Its last byte is that of the last piece; one whose client breaks off never runs.
+        private void upload(Call next) {
+            Stream rest = next.order.rest();
+            channel.config().setWriteBufferWaterMark(WINDOW);
+            channel.write(next.message(endpoint));
+            channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(next.order.body())));
+            rest.to(new Stream.Taker() {
+                private boolean flushing;
+
+                @Override
+                public void piece(byte[] bytes) {
+                    channel.write(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+                    if (!flushing) {                // once for all that one turn has read
+                        flushing = true;
+                        loop.execute(() -> {
+                            flushing = false;
+                            channel.flush();
+                        });
+                    }
+                    if (!channel.isWritable()) {
+                        rest.pull(false);
+                    }
+                }
+
+                @Override
+                public void ended() {
+                    if (call == next) {
+                        sent(next, channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+                    }
+                }
+
+                @Override
+                public void broken() {
+                    if (call == next) {
+                        finish(Outcome.NOT_SENT, null, null);
+                        close();
+                    }
+                }
+            });
+        }
+
+        @Override
+        public void writable(boolean now) {
+            if (call != null && call.order.rest() != null && !written) {
+                call.order.rest().pull(now);
+            }
+        }
+
+        @Override
+        public boolean passes() {
+            return call != null && call.order.passes();
+        }
+
+        @Override
+        public void began(Answer answer) {
+            Call answered = call;
+            call = null;
+            passing = true;
+            answered.end(answer.outcome(), answer, LoadReport.parse(answer.fields().get("Srv-Load")));
+        }
+
+        @Override
+        public void passed(boolean usable) {
+            passing = false;
+            if (written && usable) {
+                rest();
+            } else {
+                close();
+            }
+        }
+
         void rest() {
             begun = false;
             written = false;
@@ -402,6 +503,7 @@
         private void closed() {
             budget.closed(lease, System.nanoTime());
             upstream.idle.remove(this);
+            reader.ended();
             finish(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null, null);
         }
     }
--- a/src/main/java/junctionhead/upstream/http3/Http3Upstreams.java
+++ b/src/main/java/junctionhead/upstream/http3/Http3Upstreams.java
@@ -163,7 +163,7 @@
     @Override
     public Attempt send(String server, Order order, long wait, Listener listener) {
         Box box = boxes.get(server);
-        if (box == null) {
+        if (box == null || order.rest() != null && other != null) {     // uploads go over HTTP/1.1
             return other.send(server, order, wait, listener);
         }
         BoxPlan.Choice choice = clock.now() >= box.stopAt() ? null : box.choose();
@@ -171,7 +171,7 @@
             return other.send(server, order, wait, listener);
         }
         Call call = new Call(this, box, order, Math.max(1, wait / 1000), listener);
-        if (choice == null || choice.way() == BoxPlan.Way.HTTP1) {
+        if (choice == null || choice.way() == BoxPlan.Way.HTTP1 || order.rest() != null) {
             call.end(Outcome.NOT_SENT, null, null);
         } else {
             box.carry(choice, call);
