The archive of classes holds the door's and the upgrade's

Need: what the build's dry run does not load is read from the jar and verified at each start. Change: the dry run has a door and calls it, and names the classes that only an upgrade needs.

--- a/src/main/java/junctionhead/node/DryRun.java
+++ b/src/main/java/junctionhead/node/DryRun.java
@@ -2,6 +2,10 @@
 
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import junctionhead.Balance;
@@ -13,7 +17,8 @@
  */
 public final class DryRun {
     private static final String CONFIG = """
-        {"name": "dry", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "1", "settings": {
+        {"name": "dry", "listen": "127.0.0.1:0", "management": "127.0.0.1:0",
+         "discovery": "127.0.0.1:9", "seed": "1", "settings": {
           "Balancers": 1, "Quantum": 5000, "MembershipMode": "ask",
           "Classes": [
             {"Name": "a", "Idempotency": "safe", "GoalTime": 600000, "GiveUp": 1200000},
@@ -26,13 +31,35 @@
             "state": "in_service"}]}}
         """;
 
+    // What only an upgrade needs: there is no descriptor to inherit here.
+    private static final List<String> UPGRADE = List.of("junctionhead.handover.Handover",
+        "junctionhead.service.Succession", "junctionhead.service.Succession$Step",
+        "io.netty.channel.socket.nio.NioDomainSocketChannel",
+        "io.netty.channel.socket.nio.NioServerDomainSocketChannel",
+        "io.netty.handler.codec.LineBasedFrameDecoder",
+        "io.netty.handler.codec.string.StringDecoder", "io.netty.handler.codec.string.StringEncoder",
+        "java.net.UnixDomainSocketAddress", "sun.nio.ch.InheritedChannel", "sun.nio.ch.UnixDomainSockets",
+        "sun.nio.ch.InheritedChannel$InheritedServerSocketChannelImpl");
+
     private DryRun() { }
 
-    public static void main(String[] args) throws IOException, InterruptedException {
+    private static void call(InetSocketAddress door) throws IOException {
+        try (Socket caller = new Socket(door.getAddress(), door.getPort())) {
+            caller.getOutputStream().write("GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n"
+                .getBytes(StandardCharsets.US_ASCII));
+            caller.getInputStream().readAllBytes();
+        }
+    }
+
+    public static void main(String[] args) throws Exception {
         Hangup.onEach(() -> { });
         Node node = new Node(Config.of(Map.of(), JSON.std.mapFrom(CONFIG)), Balance::new, true, line -> { });
         node.start();
         boolean ready = node.awaitReady(TimeUnit.SECONDS.toMillis(30));
+        call(node.door());
+        for (String name : UPGRADE) {
+            Class.forName(name);
+        }
         node.stop();
         System.exit(ready ? 0 : 1);
     }
--- a/src/main/java/junctionhead/node/Node.java
+++ b/src/main/java/junctionhead/node/Node.java
@@ -67,6 +67,7 @@
     private final Extension.Part extra;             // null where there is none
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final CountDownLatch readied = new CountDownLatch(1);
+    private volatile InetSocketAddress calls;       // where operators call
     private volatile InetSocketAddress besides;     // where the extension listens
     private boolean hasList;
     private boolean rehearsed;
@@ -151,7 +152,8 @@
     InetSocketAddress start() throws IOException {
         if (door != null) {
             try {
-                log.accept("management on " + Addresses.text(door.listen(config.management())));
+                calls = door.listen(config.management());
+                log.accept("management on " + Addresses.text(calls));
             } catch (Exception e) {     // sync() rethrows what bind failed with, whatever its type
                 throw new IOException("management: can't listen on " + Addresses.text(config.management())
                     + ": " + e.getMessage(), e);
@@ -284,6 +286,11 @@
         return loop;
     }
 
+    /** Where operators call; null where they can't. */
+    InetSocketAddress door() {
+        return calls;
+    }
+
     /** Where the extension listens; null where it doesn't. */
     InetSocketAddress beside() {
         return besides;
