--- a/src/main/java/junctionhead/upstream/AnswerReader.java
+++ b/src/main/java/junctionhead/upstream/AnswerReader.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -65,6 +66,7 @@
     private byte[] body;
     private int length;
     private boolean passed;                         // whole, told at the end of the read
+    private boolean toEnd;                          // the present answer ends with the connection
     private int hints;
     private boolean hint;                           // within a 1xx answer
     private Answer whole;                           // told at the end of the read
@@ -125,12 +127,12 @@
         length = 0;
         List<String> codings = answer.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
         boolean chunked = codings.size() == 1 && codings.get(0).strip().equalsIgnoreCase("chunked");
-        // One whose end shows only in the end of the connection can't be told from one cut short.
-        boolean ends = codings.isEmpty() ? HttpUtil.isContentLengthSet(answer) : chunked;
-        boolean never = answer.status().equals(HttpResponseStatus.NO_CONTENT)
-            || answer.status().equals(HttpResponseStatus.NOT_MODIFIED);
+        // With neither length nor coding it ends with its connection (RFC 9112, section 6.3, rule 8): whole
+        // if that ends in order, and none if it is reset.
+        boolean ends = codings.isEmpty() || chunked;
+        toEnd = codings.isEmpty() && !HttpUtil.isContentLengthSet(answer);
         long told = HttpUtil.getContentLength(answer, -1L);
-        if (!ends && !never || told > (passes() ? Order.LENGTH_MOST : Order.BODY_MOST)) {
+        if (!ends || told > (passes() ? Order.LENGTH_MOST : Order.BODY_MOST)) {
             spoil();
         } else if (told > Order.BODY_MOST) {
             pass(told);
@@ -239,6 +241,18 @@
         context.fireChannelWritabilityChanged();
     }
 
+    // The upstream has ended its sending in order; the decoder has had this before, and what ends with the
+    // connection is whole by now. A reset comes as an exception.
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            channelReadComplete(context);
+            context.close();
+        } else {
+            context.fireUserEventTriggered(event);
+        }
+    }
+
     // Only at the end of a read is it known whether anything came behind the answer. Guards against a second
     // copy right behind: with the connection in use again at once, it was taken for the next one's answer.
     @Override
@@ -248,12 +262,12 @@
             rest = null;
             expecting = false;
             channel.config().setAutoRead(true);
-            taker.passed(!spoilt && !decoder.leftOver() && HttpUtil.isKeepAlive(head));
+            taker.passed(!spoilt && !toEnd && !decoder.leftOver() && HttpUtil.isKeepAlive(head));
         } else if (whole != null) {
             Answer told = whole;
             whole = null;
             expecting = false;
-            taker.answered(told, !spoilt && !decoder.leftOver() && HttpUtil.isKeepAlive(head));
+            taker.answered(told, !spoilt && !toEnd && !decoder.leftOver() && HttpUtil.isKeepAlive(head));
         }
         context.fireChannelReadComplete();
     }
--- a/src/main/java/junctionhead/upstream/Upstreams.java
+++ b/src/main/java/junctionhead/upstream/Upstreams.java
@@ -100,7 +100,8 @@
             .option(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(64, 2_048, READ_MOST)
                 .maxMessagesPerRead(READS));
         if (all == null) {
-            bootstrap.channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
+            bootstrap.channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true);
         } else {
             bootstrap.channel(NioDomainSocketChannel.class);
         }
