Commands for the operators' calls: ready, evacuate, rejoin, with exit codes

Need: the issue asks for commands; on-call staff had curl only, whose exit code says nothing of a no. Change: three commands that print the one-line reason and end with 0 for yes, 1 for no, 2 for a bad address. Measured: ServeTest calls all three on a served balancer, CliTest the bad and the dead address; both green.

--- /dev/null
+++ b/src/rig/java/junctionhead/cli/Calls.java
@@ -0,0 +1,79 @@
+package junctionhead.cli;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.Callable;
+import junctionhead.core.Addresses;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Parameters;
+
+/** The operators' calls, as commands: what a balancer answers, and an exit code that tells yes from no. */
+final class Calls {
+    private static final int WAIT_MS = 5_000;
+
+    private Calls() { }
+
+    private abstract static class Call implements Callable<Integer> {
+        @Parameters(paramLabel = "ADDRESS", description = "what `management` says, as 127.0.0.1:8081")
+        private String address;
+
+        abstract String line();
+
+        @Override
+        public Integer call() {
+            InetSocketAddress to;
+            try {
+                to = Addresses.parse(address);
+            } catch (IllegalArgumentException e) {
+                System.err.println(e.getMessage());
+                return 2;
+            }
+            try (Socket socket = new Socket()) {
+                socket.connect(to, WAIT_MS);
+                socket.setSoTimeout(WAIT_MS);
+                socket.getOutputStream().write((line() + " HTTP/1.1\r\nHost: " + address
+                    + "\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+                ByteArrayOutputStream answer = new ByteArrayOutputStream();
+                socket.getInputStream().transferTo(answer);
+                String[] parts = answer.toString(StandardCharsets.UTF_8).split("\r\n\r\n", 2);
+                boolean yes = parts[0].startsWith("HTTP/1.1 2");
+                (yes ? System.out : System.err).println(parts.length < 2 ? "no answer" : parts[1].strip());
+                return yes ? 0 : 1;
+            } catch (IOException e) {
+                System.err.println("can't call " + address + ": " + e.getMessage());
+                return 1;
+            }
+        }
+    }
+
+    @Command(name = "ready", mixinStandardHelpOptions = true,
+        description = "Whether a balancer takes clients.",
+        exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:yes", "1:no, or it can't be called"})
+    static final class Ready extends Call {
+        @Override
+        String line() {
+            return "GET /api/ready";
+        }
+    }
+
+    @Command(name = "evacuate", mixinStandardHelpOptions = true,
+        description = "Sends a balancer's clients away; it goes on running.")
+    static final class Evacuate extends Call {
+        @Override
+        String line() {
+            return "POST /api/evacuate";
+        }
+    }
+
+    @Command(name = "rejoin", mixinStandardHelpOptions = true,
+        description = "Has a balancer take clients again.")
+    static final class Rejoin extends Call {
+        @Override
+        String line() {
+            return "POST /api/rejoin";
+        }
+    }
+}
--- a/src/rig/java/junctionhead/cli/Cli.java
+++ b/src/rig/java/junctionhead/cli/Cli.java
@@ -29,8 +29,8 @@
 @Command(name = "honeyspindle", mixinStandardHelpOptions = true, version = "honeyspindle 0.1.0",
     description = "A balancer for HTTP services that loses nothing, does nothing twice and keeps drains.",
     synopsisSubcommandLabel = "COMMAND", subcommands = {Cli.DemoCommand.class, Cli.BenchCommand.class,
-        Cli.Check.class, Cli.Defaults.class,
-    Cli.Serve.class,
+        Cli.Check.class, Cli.Defaults.class, Cli.Serve.class, Calls.Ready.class, Calls.Evacuate.class,
+        Calls.Rejoin.class,
         Cli.Wirehost.class, AutoComplete.GenerateCompletion.class},
     exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:all went well", "1:it failed, as told",
         "2:the command line can't be used", "130:ended by SIGINT"})
--- a/src/test/java/junctionhead/cli/CliTest.java
+++ b/src/test/java/junctionhead/cli/CliTest.java
@@ -32,7 +32,8 @@
 
     @ParameterizedTest
     @CsvSource({"--help, 0, generate-completion", "--version, 0, honeyspindle",
-        "nonsense, 2, Unmatched argument",
+        "nonsense, 2, Unmatched argument", "ready nowhere, 2, not address:port",
+        "evacuate 127.0.0.1:1, 1, can't call 127.0.0.1:1",
         "demo --seconds x, 2, Invalid value", "demo --scenario no-such-file, 1, no-such-file"})
     void theCommandLineTellsWhatItTakes(String arguments, int exit, String words)
             throws IOException, InterruptedException {
--- a/src/test/java/junctionhead/cli/ServeTest.java
+++ b/src/test/java/junctionhead/cli/ServeTest.java
@@ -38,6 +38,7 @@
         return """
             [node]
             listen = "127.0.0.1:0"
+            management = "127.0.0.1:0"
             [[membership.server]]
             id = "%s"
             address = "127.0.0.1:%d"
@@ -74,6 +75,7 @@
         Process process = CliTest.start("serve", "--config", file.toString());
         try (BufferedReader in = new BufferedReader(new InputStreamReader(process.getInputStream(),
                 StandardCharsets.UTF_8))) {
+            String door = line(in, "management on ").replaceAll(".*management on ", "");
             String at = line(in, "listening on ").replaceAll(".*listening on ", "");
             int[] number = new int[1];
             HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -84,7 +86,7 @@
             Files.writeString(file, whole.substring(0, whole.length() - 12));
             hangup(process);
             String complaint = line(in, "configuration not taken over");
-            assertTrue(complaint.contains(file + ":10: not TOML"), complaint);
+            assertTrue(complaint.contains(file + ":11: not TOML"), complaint);
             assertEquals("first", ask(client, ask, number));
             Files.writeString(file, whole);
             hangup(process);
@@ -95,6 +97,10 @@
                 answer = ask(client, ask, number);
             }
             assertEquals("second", answer);
+            assertEquals("0 ready", call("ready", door));
+            assertEquals("0 evacuating", call("evacuate", door));
+            assertEquals("1 not ready: evacuating", call("ready", door));
+            assertEquals("0 taking clients", call("rejoin", door));
             process.toHandle().destroy();
             assertTrue(line(in, "stopped: ").contains("0 unanswered"));
             assertTrue(process.waitFor(30, TimeUnit.SECONDS));
@@ -107,6 +113,12 @@
         }
     }
 
+    private static String call(String name, String door) throws IOException, InterruptedException {
+        Process process = CliTest.start(name, door);
+        String out = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        return process.waitFor() + " " + out.strip();
+    }
+
     private static String ask(HttpClient client, HttpRequest.Builder ask, int[] number)
             throws IOException, InterruptedException {
         HttpResponse<String> answer = client.send(ask.setHeader("Req-Id", "r" + number[0]++).GET().build(),
