Long uploads: one answer on every path, and what is read and written stands once

Seen on reading the change again, each by a test that is red without this: an upload that the module never sends got no answer (its guard began with its last byte); one whose upstream takes no more waited for ever; one whose chunks break, or that grows too long, got the module's answer and a 400 or 413 behind it; one refused on its way was reset before it could read its 503. Change: the guard runs from the start and again while an attempt is under way; an attempt whose upstream takes nothing for 10 s is given up, and has not run; a broken body ends its request once, at the front; the rest of a refused one is read and dropped. A silent long answer is broken off with a reset.

--- a/src/main/java/junctionhead/core/Dispatcher.java
+++ b/src/main/java/junctionhead/core/Dispatcher.java
@@ -23,6 +23,9 @@
     /** µs before that at which the last attempt ends, so that the module can word the answer itself. */
     static final long LAST_WORD = 6_000;
 
+    /** µs for which an upstream may take nothing of a long body that is there for it. */
+    static final long STALLED = 10_000_000;
+
     /** A request that has been taken, and its attempts. */
     private static final class Exchange {
         final String id;
@@ -36,6 +39,7 @@
         int out;
         boolean closed;
         Loop.Timer guard;
+        Loop.Timer stall;                           // while its upstream takes no more
 
         Exchange(String id, Order order, Reply reply, long deadline, int most) {
             this.most = most;
@@ -147,11 +151,11 @@
         ids.add(order.id());
         owed++;
         x.entry = tally.taken(order);
-        if (upload == null) {
-            guard(x);
-        } else {
+        guard(x);
+        if (upload != null) {
             x.arriving = true;
             upload.then = () -> arrived(x);
+            upload.stalled = stalled -> stalled(x, stalled);
         }
         hand(now -> policy.request(now, id, order.requestClass(), order.tenant(), order.key(),
             Math.max(0, x.deadline - now), order.work(), order.resubmission(), this));
@@ -159,13 +163,33 @@
     }
 
     private void guard(Exchange x) {
-        x.guard = loop.after(Math.max(0, x.order.timeLeft() - GUARD), () -> lastResort(x));
+        x.guard = loop.after(Math.max(0, x.order.timeLeft() - GUARD), () -> {
+            if (x.arriving && x.out > 0) {
+                guard(x);                           // on its way: its time has not begun
+            } else {
+                lastResort(x);
+            }
+        });
+    }
+
+    // Its upstream takes no more of a long body: that attempt has not run, and is not waited for for ever.
+    private void stalled(Exchange x, boolean stalled) {
+        if (x.stall != null) {
+            x.stall.cancel();
+            x.stall = null;
+        }
+        if (stalled && !x.closed) {
+            x.stall = loop.after(STALLED, () ->
+                List.copyOf(x.attempts).forEach(a -> giveUp(a, Policy.Outcome.TIMEOUT)));
+        }
     }
 
     // A request's time counts from its last byte, and so does what is waited for its attempt.
     private void arrived(Exchange x) {
         x.arriving = false;
+        stalled(x, false);
         if (!x.closed) {
+            x.guard.cancel();
             x.deadline = now() + x.order.timeLeft();
             guard(x);
             for (Attempt a : x.attempts) {
@@ -181,6 +205,7 @@
     private static final class Upload implements Stream {
         private final Stream from;
         private Runnable then;
+        private Consumer<Boolean> stalled;
 
         Upload(Stream from) {
             this.from = from;
@@ -214,6 +239,7 @@
 
         @Override
         public void pull(boolean room) {
+            stalled.accept(!room);
             from.pull(room);
         }
 
@@ -259,9 +285,8 @@
 
     private void close(Exchange x) {
         x.closed = true;
-        if (x.guard != null) {
-            x.guard.cancel();
-        }
+        x.guard.cancel();
+        stalled(x, false);
         owed--;
         if (owed == 0 && whenIdle != null) {
             loop.soon(whenIdle);
--- a/src/main/java/junctionhead/front/http1/Client.java
+++ b/src/main/java/junctionhead/front/http1/Client.java
@@ -7,10 +7,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -20,14 +18,15 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 import junctionhead.connections.Lease;
 import junctionhead.core.Answer;
+import junctionhead.core.Order;
 import junctionhead.core.Stream;
+import junctionhead.http1.Sink;
 
 /**
  * One connection of a client: its requests one after the other, each one's answer in turn, and how long it
@@ -40,7 +39,6 @@
     private static final long BODY = TimeUnit.MILLISECONDS.toNanos(2_000);      // a body that is held whole
     private static final long UNREAD = TimeUnit.MILLISECONDS.toNanos(5_000);    // answers that nobody reads
     private static final long STALLED = TimeUnit.MILLISECONDS.toNanos(15_000); // a long body's progress
-    private static final WriteBufferWaterMark WINDOW = new WriteBufferWaterMark(32 << 10, 64 << 10);
     private static final int LINGER_BYTES = 64 * 1024;
     private static final int AHEAD_MOST = 16;       // requests that may be sent ahead
 
@@ -60,6 +58,7 @@
     private Outflow outflow;                        // of a long answer, until its last byte
     private long moved;                             // of long bodies: bytes when last looked at
     private long movedAt;
+    private long linger = LINGER_BYTES;             // bytes that are read behind the last answer
     private boolean ending;                         // the last answer has been written
     private long since = System.nanoTime();         // the beginning of the receipt
     private final Lease lease;                      // what it has of the budget
@@ -91,13 +90,12 @@
             bad(HttpResponseStatus.REQUEST_TIMEOUT, "too slow");
         }
         if (intake.flows() || outflow != null) {
-            long out = outflow == null ? 0 : outflow.passed - channel.bytesBeforeWritable();
-            long bytes = intake.flown() + out;
+            long bytes = intake.flown() + (outflow == null ? 0 : outflow.sink.progress());
             if (bytes != moved || intake.flows() && !channel.config().isAutoRead()) {
                 moved = bytes;
                 movedAt = now;
             } else if (now - movedAt > STALLED) {
-                close();
+                breakOff();
             }
             unreadSince = 0;
             return;
@@ -111,6 +109,16 @@
         }
     }
 
+    // What it gets can't be taken for whole, and nobody wants the rest.
+    private void breakOff() {
+        if (outflow != null) {
+            outflow.rest.drop();
+            outflow.broken();
+        } else {
+            close();
+        }
+    }
+
     void closed() {
         Runnable left = gone;
         gone = null;
@@ -188,6 +196,29 @@
         }
     }
 
+    // Guards against a second answer: what has been taken gets this one, and nobody else answers it.
+    @Override
+    public void cut(HttpResponseStatus status, String why) {
+        Taken last = ahead.peekLast();
+        if (last != null) {                         // its turn has not come
+            server.room().give(last.body().length);
+            ahead.removeLast();
+            intake.drop();
+            bad(status, why);
+            return;
+        }
+        Runnable left = gone;
+        gone = null;
+        if (left != null) {
+            left.run();
+        }
+        if (outflow != null) {
+            breakOff();                             // its answer has begun
+        } else {
+            refuse(status, why);
+        }
+    }
+
     /** Refuses the request that is being served, and with it all that its client sent behind it. */
     void refuse(HttpResponseStatus status, String why) {
         while (!ahead.isEmpty()) {
@@ -243,6 +274,7 @@
     void write(HttpResponseStatus status, ByteBuf body, String type, String header, String value,
             boolean keep) {
         gone = null;
+        linger = intake.flows() ? Order.LENGTH_MOST : LINGER_BYTES;     // it may write all before it reads
         server.room().give(charged);
         charged = 0;
         boolean more = receiving || problem != null || decoder.holdsMore();
@@ -306,11 +338,9 @@
         if (!wanted) {
             head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        channel.config().setWriteBufferWaterMark(WINDOW);
-        outflow = new Outflow(answer.rest(), wanted);
         movedAt = System.nanoTime();
-        channel.write(head);
-        channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(answer.body())));
+        outflow = new Outflow(answer.rest(), wanted);
+        outflow.sink.begin(head, answer.body());
         answer.rest().to(outflow);
     }
 
@@ -318,8 +348,7 @@
     private final class Outflow implements Stream.Taker {
         private final Stream rest;
         private final boolean wanted;
-        private long passed;
-        private boolean flushing;
+        private final Sink sink = new Sink(channel);
 
         Outflow(Stream rest, boolean wanted) {
             this.rest = rest;
@@ -328,16 +357,8 @@
 
         @Override
         public void piece(byte[] bytes) {
-            passed += bytes.length;
-            channel.write(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
-            if (!flushing) {                        // once for all that one turn has read
-                flushing = true;
-                channel.eventLoop().execute(() -> {
-                    flushing = false;
-                    channel.flush();
-                });
-            }
-            if (!channel.isWritable()) {
+            sink.write(bytes);
+            if (!sink.room()) {
                 rest.pull(false);
             }
         }
@@ -355,7 +376,7 @@
                 intake.drop();
                 channel.pipeline().replace(decoder, null, new Drain());
             }
-            end(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), stay, more);
+            end(sink.end(), stay, more);
         }
 
         // A reset: it can't be taken for whole, whatever frames it.
@@ -413,7 +434,7 @@
         public void channelRead(ChannelHandlerContext context, Object part) {
             bytes += part instanceof ByteBuf some ? some.readableBytes() : 0;
             ReferenceCountUtil.release(part);
-            if (ending && bytes > LINGER_BYTES) {
+            if (ending && bytes > linger) {
                 close();
             }
         }
--- a/src/main/java/junctionhead/front/http1/Intake.java
+++ b/src/main/java/junctionhead/front/http1/Intake.java
@@ -17,13 +17,14 @@
 import junctionhead.core.Order;
 import junctionhead.core.Room;
 import junctionhead.core.Stream;
+import junctionhead.http1.Source;
 
 /**
  * Puts a client's requests together, each whole and copied off the socket's buffers. What is too long, or
  * framed in a way that others may read otherwise, is refused as soon as that shows, and none of it is kept.
  */
 final class Intake extends SimpleChannelInboundHandler<HttpObject> {
-    /** Whom it tells. After {@link #bad} nothing more comes. */
+    /** Whom it tells. After {@link #bad} or {@link #cut} nothing more comes. */
     interface Taker {
         /** A head has come that can be read; its body is to follow. */
         void begun(HttpRequest head);
@@ -34,6 +35,9 @@
         void flowing(HttpRequest head, byte[] first, Stream rest, long length);
 
         void bad(HttpResponseStatus status, String why);
+
+        /** The same within the long body that was told last. */
+        void cut(HttpResponseStatus status, String why);
     }
 
     private final Taker taker;
@@ -135,42 +139,26 @@
     }
 
     /** What follows of a long body. Until it has a taker nothing more is read. */
-    private final class Inflow implements Stream {
-        private final Channel channel;
+    private final class Inflow extends Source {
         private final ArrayDeque<byte[]> held = new ArrayDeque<>();
-        private Taker to;
         private boolean whole;
         private long bytes;
 
         Inflow(Channel channel) {
-            this.channel = channel;
+            super(channel);
         }
 
         @Override
-        public boolean started() {
-            return to != null;
-        }
-
-        @Override
-        public void to(Taker taker) {
-            if (to != null) {
-                throw new IllegalStateException("taken before");
-            }
-            to = taker;
+        protected void begin() {
             pull(true);
             while (!held.isEmpty()) {
-                to.piece(held.poll());
+                taker().piece(held.poll());
             }
             if (whole) {
-                to.ended();
+                taker().ended();
             }
         }
 
-        @Override
-        public void pull(boolean now) {
-            channel.config().setAutoRead(now);
-        }
-
         @Override
         public void drop() {
             pull(true);                             // its client may have to finish before it reads
@@ -182,29 +170,34 @@
                 refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "too large");
                 return;
             }
-            if (to == null) {
+            if (!started()) {
                 pull(false);
                 held.add(ByteBufUtil.getBytes(more));
             } else if (more.isReadable()) {
-                to.piece(ByteBufUtil.getBytes(more));
+                taker().piece(ByteBufUtil.getBytes(more));
             }
             if (last) {
                 whole = true;
                 inflow = null;
-                if (to != null) {
-                    to.ended();
+                if (started()) {
+                    taker().ended();
                 }
             }
         }
 
         private void broken() {
-            if (to != null) {
-                to.broken();
+            drop();
+            if (started()) {
+                taker().broken();
             }
         }
     }
 
     private void refuse(HttpResponseStatus status, String why) {
+        if (inflow != null) {
+            taker.cut(status, why);
+            return;
+        }
         drop();
         taker.bad(status, why);
     }
--- /dev/null
+++ b/src/main/java/junctionhead/http1/Source.java
@@ -0,0 +1,41 @@
+package junctionhead.http1;
+
+import io.netty.channel.Channel;
+import junctionhead.core.Stream;
+
+/** A long body as it is read off a connection; it has one taker, once. On the event loop. */
+public abstract class Source implements Stream {
+    private final Channel channel;
+    private Taker taker;
+
+    protected Source(Channel channel) {
+        this.channel = channel;
+    }
+
+    /** Who takes it; null before it has one. */
+    public final Taker taker() {
+        return taker;
+    }
+
+    @Override
+    public final boolean started() {
+        return taker != null;
+    }
+
+    @Override
+    public final void to(Taker to) {
+        if (taker != null) {
+            throw new IllegalStateException("taken before");
+        }
+        taker = to;
+        begin();
+    }
+
+    /** It has its taker. */
+    protected void begin() { }
+
+    @Override
+    public final void pull(boolean room) {
+        channel.config().setAutoRead(room);
+    }
+}
--- a/src/main/java/junctionhead/upstream/AnswerReader.java
+++ b/src/main/java/junctionhead/upstream/AnswerReader.java
@@ -25,8 +25,8 @@
 import java.util.List;
 import junctionhead.core.Answer;
 import junctionhead.core.Order;
-import junctionhead.core.Stream;
 import junctionhead.http1.Http1Fields;
+import junctionhead.http1.Source;
 
 /**
  * Reads the answers on one connection to an upstream, one for each request, and trusts nothing that comes:
@@ -176,33 +176,18 @@
 
     /** The connection has ended; what is under way breaks off. */
     void ended() {
-        if (rest != null && !rest.ended) {
+        if (rest != null && !rest.ended && rest.started()) {
             rest.ended = true;
-            rest.to.broken();
+            rest.taker().broken();
         }
     }
 
     /** What follows of a long answer. */
-    private final class Rest implements Stream {
-        private Taker to;
+    private final class Rest extends Source {
         private boolean ended;
 
-        @Override
-        public boolean started() {
-            return to != null;
-        }
-
-        @Override
-        public void to(Taker taker) {
-            if (to != null) {
-                throw new IllegalStateException("taken before");
-            }
-            to = taker;
-        }
-
-        @Override
-        public void pull(boolean room) {
-            channel.config().setAutoRead(room);
+        Rest() {
+            super(channel);
         }
 
         @Override
@@ -215,16 +200,16 @@
         }
 
         private void more(ByteBuf bytes, boolean last) {
-            if (to == null || spoilt) {
+            if (taker() == null || spoilt) {
                 return;                             // nobody took it: dropped
             }
             if (bytes.isReadable()) {
-                to.piece(ByteBufUtil.getBytes(bytes));
+                taker().piece(ByteBufUtil.getBytes(bytes));
             }
             if (last && !ended) {
                 ended = true;
                 passed = true;
-                to.ended();
+                taker().ended();
             }
         }
     }
--- a/src/main/java/junctionhead/upstream/Upstreams.java
+++ b/src/main/java/junctionhead/upstream/Upstreams.java
@@ -8,11 +8,9 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioDomainSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -22,7 +20,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -52,11 +49,11 @@
 import junctionhead.core.Stream;
 import junctionhead.core.Targets;
 import junctionhead.http1.Http1Fields;
+import junctionhead.http1.Sink;
 
 /** The connections to the upstreams, one request at a time on each, and what becomes of each request. */
 public final class Upstreams implements Carrier {
     private static final AsciiString DEADLINE = AsciiString.cached(Order.DEADLINE);
-    private static final WriteBufferWaterMark WINDOW = new WriteBufferWaterMark(32 << 10, 64 << 10);
     private static final int READS = 4;             // in one turn: none keeps the others waiting
     private static final int READ_MOST = 32 << 10;
     private static final int CONNECT_MS = 1_000;    // where the settings give no limit
@@ -339,7 +336,6 @@
         private Call call;
         private boolean begun;                      // some of the request may have been written
         private boolean written;                    // all of it has been
-        private boolean passing;                    // a long answer, whose call is over
         private long idleSince;
 
         Connection(Upstream upstream) {
@@ -381,23 +377,13 @@
         // Its last byte is that of the last piece; one whose client breaks off never runs.
         private void upload(Call next) {
             Stream rest = next.order.rest();
-            channel.config().setWriteBufferWaterMark(WINDOW);
-            channel.write(next.message(endpoint));
-            channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(next.order.body())));
+            Sink sink = new Sink(channel);
+            sink.begin(next.message(endpoint), next.order.body());
             rest.to(new Stream.Taker() {
-                private boolean flushing;
-
                 @Override
                 public void piece(byte[] bytes) {
-                    channel.write(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
-                    if (!flushing) {                // once for all that one turn has read
-                        flushing = true;
-                        loop.execute(() -> {
-                            flushing = false;
-                            channel.flush();
-                        });
-                    }
-                    if (!channel.isWritable()) {
+                    sink.write(bytes);
+                    if (!sink.room()) {
                         rest.pull(false);
                     }
                 }
@@ -405,7 +391,7 @@
                 @Override
                 public void ended() {
                     if (call == next) {
-                        sent(next, channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+                        sent(next, sink.end());
                     }
                 }
 
@@ -435,13 +421,11 @@
         public void began(Answer answer) {
             Call answered = call;
             call = null;
-            passing = true;
             answered.end(answer.outcome(), answer, LoadReport.parse(answer.fields().get("Srv-Load")));
         }
 
         @Override
         public void passed(boolean usable) {
-            passing = false;
             if (written && usable) {
                 rest();
             } else {
--- a/src/test/java/junctionhead/core/DispatcherTest.java
+++ b/src/test/java/junctionhead/core/DispatcherTest.java
@@ -35,6 +35,7 @@
 
     private static final class FakeCarrier implements Carrier {
         final List<Started> started = new ArrayList<>();
+        final List<Order> orders = new ArrayList<>();
         boolean atOnce;                             // fails within send
 
         @Override
@@ -44,6 +45,7 @@
         public Attempt send(String server, Order order, long wait, Listener listener) {
             Started next = new Started(listener, wait);
             started.add(next);
+            orders.add(order);
             if (atOnce) {
                 listener.ended(Outcome.NOT_SENT, null, null);
             }
@@ -238,4 +240,89 @@
         loop.pass(1);
         assertEquals(2, carrier.started.size());
     }
+
+    /** A long body, of which the test says when it has come. */
+    private static final class Body implements Stream {
+        private Taker taker;
+
+        @Override
+        public boolean started() {
+            return taker != null;
+        }
+
+        @Override
+        public void to(Taker to) {
+            taker = to;
+        }
+
+        @Override
+        public void pull(boolean room) { }
+
+        @Override
+        public void drop() { }
+    }
+
+    private Order upload(Body body) {
+        return new Order("u", "POST", "/k", Fields.NONE, new byte[0], 0, 0, null, 400_000, -1, false)
+            .passing(body, 300_000);
+    }
+
+    private static final class Nowhere implements Stream.Taker {
+        @Override
+        public void piece(byte[] bytes) { }
+
+        @Override
+        public void ended() { }
+
+        @Override
+        public void broken() { }
+    }
+
+    @Test
+    void anUploadsTimeCountsFromItsLastByte() {
+        Body body = new Body();
+        Answers given = new Answers();
+        dispatcher.take(upload(body), given);
+        carrier.orders.get(0).rest().to(new Nowhere());
+        loop.pass(5_000_000);
+        assertEquals(List.of(), given.given);
+        assertFalse(carrier.started.get(0).givenUp);
+        body.taker.ended();
+        loop.pass(49_000);
+        assertFalse(carrier.started.get(0).givenUp);
+        loop.pass(2_000);
+        assertTrue(carrier.started.get(0).givenUp);
+        assertEquals(List.of("failed"), given.given);
+    }
+
+    /** The module keeps silent, and so would the guard, if it began with the last byte only. */
+    @Test
+    void anUploadThatNobodySendsIsAnsweredAllTheSame() {
+        Answers given = new Answers();
+        carrier.atOnce = true;
+        policy.silent = true;
+        dispatcher.take(upload(new Body()), given);
+        loop.pass(400_000);
+        assertEquals(List.of("failed"), given.given);
+    }
+
+    @Test
+    void anUpstreamThatTakesNoMoreOfAnUploadIsGivenUp() {
+        Body body = new Body();
+        Answers given = new Answers();
+        dispatcher.take(upload(body), given);
+        Stream rest = carrier.orders.get(0).rest();
+        rest.to(new Nowhere());
+        carrier.started.get(0).fate = Carrier.Fate.NEVER_RAN;
+        rest.pull(false);
+        loop.pass(9_000_000);
+        rest.pull(true);
+        loop.pass(9_000_000);
+        assertEquals(List.of(), given.given);
+        rest.pull(false);
+        loop.pass(11_000_000);
+        assertTrue(carrier.started.get(0).givenUp);
+        assertEquals(List.of("NOT_SENT"), policy.told);
+        assertEquals(List.of("failed"), given.given);
+    }
 }
--- a/src/test/java/junctionhead/node/LongBodiesTest.java
+++ b/src/test/java/junctionhead/node/LongBodiesTest.java
@@ -168,4 +168,35 @@
         }
         assertEquals(0, upstream.connections());
     }
+
+    /** It writes all of its body before it reads: closed with bytes unread, it would lose the answer. */
+    @Test
+    void anUploadThatIsRefusedOnItsWayReadsItsAnswerBehindItsLastByte() throws Exception {
+        start();
+        module.server = null;
+        byte[] body = random(6 << 20);
+        try (Client client = new Client(at).send(LONG + "Content-Length: " + body.length + "\r\n\r\n")) {
+            assertEquals("2 k1 -1 false", module.requests.poll(20, TimeUnit.SECONDS));
+            client.socket.getOutputStream().write(body, 0, 100_000);
+            onLoop(() -> module.actions.refuse("1", 0));
+            client.socket.getOutputStream().write(body, 100_000, body.length - 100_000);
+            assertEquals(503, client.status());
+        }
+    }
+
+    /** The module's answer and that of the broken framing would be two. */
+    @Test
+    void anUploadWhoseFramingBreaksGetsOneAnswerAndNeverRan() throws Exception {
+        start();
+        try (Client client = new Client(at).send(LONG + "Transfer-Encoding: chunked\r\n\r\n")) {
+            client.socket.getOutputStream().write("186a0\r\n".getBytes(StandardCharsets.US_ASCII));
+            client.socket.getOutputStream().write(random(100_000));
+            assertEquals("2 k1 -1 false", module.requests.poll(20, TimeUnit.SECONDS));
+            client.send("\r\nnonsense\r\n");
+            assertEquals(400, client.status());
+            assertEquals(null, client.answer());
+        }
+        assertEquals("gone", module.next());
+        assertEquals("NOT_SENT closed", module.next());
+    }
 }
