--- /dev/null
+++ b/src/test/java/junctionhead/QuietActions.java
@@ -0,0 +1,37 @@
+package junctionhead;
+
+/** Does nothing of what the module asks for; a test overrides what it looks at. */
+interface QuietActions extends Policy.Actions {
+    @Override
+    default void send(String request, String server, long timeout) { }
+
+    @Override
+    default void refuse(String request, long retryAfter) { }
+
+    @Override
+    default void fail(String request) { }
+
+    @Override
+    default void cancel(String request, int attempt) { }
+
+    @Override
+    default void probe(String server) { }
+
+    @Override
+    default void watch(boolean on) { }
+
+    @Override
+    default void fetchList() { }
+
+    @Override
+    default void closeIdle(String server) { }
+
+    @Override
+    default void tell(int peer, byte[] data) { }
+
+    @Override
+    default void wakeAfter(long delay) { }
+
+    @Override
+    default void remark(String line) { }
+}
