A server that needs no handshake wins where queues are alike and handshakes have a price

Ruled out: IdleRest alone. The spares' 0.5 s keeps the servers' tables open; what is missing is that Balance.queue, which weighs the price of a zone, knew nothing of the price of a connection. Change: the module may ask whether an attempt would find a connection (Actions.connected, answered by each carrier; true where nobody knows, as on the simulator's wire), and a queue that needs a handshake counts for longer by its price, at the rate by which crossing a zone does. It decides only between the servers that are sampled.

--- a/src/main/java/junctionhead/Balance.java
+++ b/src/main/java/junctionhead/Balance.java
@@ -199,7 +199,7 @@
     // ---------------------------------------------------------------- dispatch: the paper's definition
 
     // Ranks by accomplishment, samples A of the top p·k and D-A of the rest, takes the shortest queue.
-    private Node draw(List<Node> candidates, long now) {
+    private Node draw(List<Node> candidates, long now, Actions out) {
         int k = candidates.size();
         if (k == 1) {
             return candidates.get(0);
@@ -208,12 +208,13 @@
         int top = Math.max(1, Math.min(k - 1, (int) Math.round(fastShare * k)));
         int fromTop = Math.min(top, Math.max(A, D - (k - top)));
         int fromRest = Math.min(k - top, D - fromTop);
-        int best = sample(candidates, 0, top, fromTop, -1, now);
-        return candidates.get(sample(candidates, top, k, fromRest, best, now));
+        int best = sample(candidates, 0, top, fromTop, -1, now, out);
+        return candidates.get(sample(candidates, top, k, fromRest, best, now, out));
     }
 
     // Draws without replacement from [from, to); returns the shortest queue, ties to the higher rank.
-    private int sample(List<Node> ranked, int from, int to, int draws, int best, long now) {
+    private int sample(List<Node> ranked, int from, int to, int draws, int best, long now,
+            Actions out) {
         int shortest = best;
         int[] left = IntStream.range(from, to).toArray();
         for (int i = 0; i < draws; i++) {
@@ -221,7 +222,7 @@
             int drawn = left[j];
             left[j] = left[i];
             double difference = shortest < 0 ? -1
-                : queue(ranked.get(drawn), now) - queue(ranked.get(shortest), now);
+                : queue(ranked.get(drawn), now, out) - queue(ranked.get(shortest), now, out);
             shortest = difference < 0 || difference == 0 && drawn < shortest ? drawn : shortest;
         }
         return shortest;
@@ -231,11 +232,15 @@
     // still keep, and what the other balancers have there. A balancer that sees a small part of the traffic
     // finds its own queues empty nearly always, and ties alone would then send all of it to one set. In
     // another zone, where crossing has a price, a queue counts for longer: it must be worth the price.
-    private double queue(Node n, long now) {
+    private double queue(Node n, long now, Actions out) {
         while (!n.penalties.isEmpty() && n.penalties.peekFirst() <= now) {
             n.penalties.pollFirst();
         }
-        double far = n.server.zone() == settings.zone() ? 0 : CROSSING * settings.prices().crossZone();
+        Prices prices = settings.prices();
+        double far = n.server.zone() == settings.zone() ? 0 : CROSSING * prices.crossZone();
+        if (prices.handshake() > 0 && !out.connected(n.server.id())) {
+            far += CROSSING * prices.handshake();
+        }
         double queue = (n.inFlight + n.penalties.size() + others(n, now)) * meanWeight / n.server.weight();
         return queue + far * (1 + queue);
     }
@@ -581,7 +586,7 @@
         if (candidates.isEmpty()) {
             return false;
         }
-        send(r, draw(candidates, now), now, out);
+        send(r, draw(candidates, now, out), now, out);
         return true;
     }
 
@@ -728,7 +733,7 @@
         others.removeIf(n -> wasTried(r, n));
         if (!others.isEmpty()) {
             retryBudget--;
-            send(r, draw(others, now), now, out);
+            send(r, draw(others, now, out), now, out);
         }
     }
 
--- a/src/main/java/junctionhead/Policy.java
+++ b/src/main/java/junctionhead/Policy.java
@@ -217,6 +217,14 @@
         /** Stop waiting for an attempt. */
         void cancel(String request, int attempt);
 
+        /**
+         * Whether an attempt at that server would find a connection to go on, and so need no handshake; true
+         * where nobody knows. A question: it changes nothing.
+         */
+        default boolean connected(String server) {
+            return true;
+        }
+
         /** Ask a server how it is. */
         void probe(String server);
 
--- a/src/main/java/junctionhead/core/Dispatcher.java
+++ b/src/main/java/junctionhead/core/Dispatcher.java
@@ -403,6 +403,11 @@
         }
     }
 
+    @Override
+    public boolean connected(String server) {
+        return carrier.connected(server);
+    }
+
     @Override
     public void refuse(String request, long retryAfter) {
         Exchange x = table.get(request);
--- a/src/main/java/junctionhead/http3/BoxPlan.java
+++ b/src/main/java/junctionhead/http3/BoxPlan.java
@@ -75,8 +75,7 @@
         Link best = null;
         Link coming = null;
         for (Link link : links) {
-            if (link.state == Link.State.UP && link.open < limits.streams() && link.allowed > 0
-                    && (best == null || link.open < best.open)) {
+            if (hasRoom(link) && (best == null || link.open < best.open)) {
                 best = link;
             } else if (link.state == Link.State.DIALLING) {
                 coming = link;
@@ -105,6 +104,15 @@
         return new Choice(Way.NONE, null, false);
     }
 
+    /** Whether a request that came now would find a stream on a connection that stands. Changes nothing. */
+    public boolean connected() {
+        return links.stream().anyMatch(this::hasRoom);
+    }
+
+    private boolean hasRoom(Link link) {
+        return link.state == Link.State.UP && link.open < limits.streams() && link.allowed > 0;
+    }
+
     // Those on their way out still hold what they hold, but must not keep the upstream without a new one.
     private int live() {
         return (int) links.stream().filter(l -> l.state != Link.State.GOING).count();
--- a/src/main/java/junctionhead/upstream/Upstreams.java
+++ b/src/main/java/junctionhead/upstream/Upstreams.java
@@ -153,6 +153,13 @@
         return start(server, new Call(order, Math.max(1, wait / 1000), listener));
     }
 
+    // The idle one used last: those before it have rested for longer.
+    @Override
+    public boolean connected(String server) {
+        Upstream u = upstreams.get(server);
+        return u != null && !u.idle.isEmpty() && u.idle.peekLast().usable();
+    }
+
     /** Gives up after the time that a connection may take. */
     @Override
     public void probe(String server, boolean report, Listener listener) {
--- a/src/main/java/junctionhead/upstream/http3/Http3Upstreams.java
+++ b/src/main/java/junctionhead/upstream/http3/Http3Upstreams.java
@@ -179,6 +179,15 @@
         return call;
     }
 
+    @Override
+    public boolean connected(String server) {
+        Box box = boxes.get(server);
+        if (box != null && !box.plan().failing()) {
+            return box.plan().connected();
+        }
+        return other != null && other.connected(server);
+    }
+
     /** Gives up after the time that a connection may take. */
     @Override
     public void probe(String server, boolean report, Listener listener) {
--- a/src/test/java/junctionhead/DispatchTest.java
+++ b/src/test/java/junctionhead/DispatchTest.java
@@ -127,4 +127,43 @@
             assertTrue(!harness.request("n" + i, 0).server.equals(bad.server));
         }
     }
+
+    /** The part of 1,000 requests, one at a time, that goes to servers with a connection: one of each set. */
+    private static double onConnected(double handshake) {
+        Policy.Settings settings = Harness.settings(new Policy.Prices(0, handshake), 1, true,
+            Policy.Discovery.PUSH, List.of(), Harness.kind(Effect.SAFE, Scope.ALL));
+        int found = 0;
+        for (int seed = 0; seed < 1_000; seed++) {
+            Harness harness = new Harness(settings, seed).list(ListKind.PERSISTED, Harness.fleet(6));
+            harness.connected = Set.of("s0", "s1", "s2");
+            found += harness.connected.contains(harness.request("r", 0).server) ? 1 : 0;
+        }
+        return found / 1_000.0;
+    }
+
+    @Test
+    void ofQueuesAlikeTheOneThatNeedsNoHandshakeWinsWhereThatHasAPrice() {
+        assertEquals(0.5, onConnected(0), 0.08);
+        assertEquals(1, onConnected(0.08), 0.001);      // four of six are sampled: one is always among them
+    }
+
+    @Test
+    void aQueueThatIsLongerByMoreThanThePriceLosesForAllItsConnections() {
+        Policy.Settings settings = Harness.settings(new Policy.Prices(0, 0.08), 1, true,
+            Policy.Discovery.PUSH, List.of(), Harness.kind(Effect.SAFE, Scope.ALL));
+        for (int seed = 0; seed < 50; seed++) {
+            Harness harness = new Harness(settings, seed).list(ListKind.PERSISTED, Harness.fleet(6));
+            harness.connected = Set.of("s0");
+            int held = 0;
+            for (int i = 0; i < 200; i++) {
+                Harness.Sent sent = harness.request("r" + i, 0);
+                if (sent.server.equals("s0") && held < 3) {
+                    held++;
+                } else {
+                    assertTrue(!sent.server.equals("s0"), "three wait there already");
+                    harness.end(sent, Outcome.OK);
+                }
+            }
+        }
+    }
 }
--- a/src/test/java/junctionhead/Harness.java
+++ b/src/test/java/junctionhead/Harness.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import junctionhead.Policy.Effect;
 import junctionhead.Policy.ListKind;
 import junctionhead.Policy.Outcome;
@@ -46,6 +47,7 @@
     long wakeAt = Long.MAX_VALUE;
     int watches;
     int doubleFinals;
+    Set<String> connected;                              // servers that need no handshake; null: all
     double reported = Double.NaN;                       // in-flight figure that outcomes carry, if any
 
     Harness(Policy.Settings settings, long seed) {
@@ -62,8 +64,13 @@
 
     static Policy.Settings settings(int balancers, boolean copies, Policy.Discovery discovery,
             List<Policy.Tenant> tenants, Policy.RequestClass... classes) {
+        return settings(new Policy.Prices(0, 0), balancers, copies, discovery, tenants, classes);
+    }
+
+    static Policy.Settings settings(Policy.Prices prices, int balancers, boolean copies,
+            Policy.Discovery discovery, List<Policy.Tenant> tenants, Policy.RequestClass... classes) {
         return new Policy.Settings(balancers, 0, 0, List.of(classes), tenants, 0.1,
-            new Policy.Goal(1, 0, 0, 0), new Policy.Prices(0, 0),
+            new Policy.Goal(1, 0, 0, 0), prices,
             true, discovery, Policy.Reports.NONE, false,
             new Policy.Limits(5, copies, true, true, 250_000, 0),
             new Policy.Bounds(20_000, 1_000_000, 10_000_000, 0.2, 20_000_000, 2.5, 1_500_000, PAUSE), 5_000);
@@ -167,6 +174,11 @@
         log.add(now + " " + how + " " + request);
     }
 
+    @Override
+    public boolean connected(String server) {
+        return connected == null || connected.contains(server);
+    }
+
     @Override
     public void refuse(String request, long retryAfter) {
         log.add(now + " refuse " + request + " " + retryAfter);
--- a/src/test/java/junctionhead/http3/BoxPlanTest.java
+++ b/src/test/java/junctionhead/http3/BoxPlanTest.java
@@ -29,6 +29,22 @@
         return choice.link();
     }
 
+    @Test
+    void isConnectedWhileAStreamIsLeftOnAConnectionThatStands() {
+        assertFalse(plan.connected());
+        Choice first = plan.choose(0);
+        assertFalse(plan.connected(), "its handshake is under way");
+        plan.up(first.link(), 2, 0);
+        assertTrue(plan.connected());
+        plan.choose(0);
+        assertFalse(plan.connected(), "the peer allows no more");
+        plan.released(first.link(), 0);
+        plan.allowed(first.link(), 1);
+        assertTrue(plan.connected());
+        plan.goAway(first.link(), 8);
+        assertFalse(plan.connected());
+    }
+
     @Test
     void requestsWaitForOneHandshake() {
         Choice first = plan.choose(0);
--- a/src/test/java/junctionhead/node/UpstreamsTest.java
+++ b/src/test/java/junctionhead/node/UpstreamsTest.java
@@ -1,6 +1,7 @@
 package junctionhead.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -14,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -58,6 +60,28 @@
         }
     }
 
+    private boolean connected(String server) {
+        CompletableFuture<Boolean> told = new CompletableFuture<>();
+        onLoop(() -> told.complete(module.actions.connected(server)));
+        return told.join();
+    }
+
+    @Test
+    @Timeout(60)
+    void theModuleCanAskWhetherAHandshakeIsNeeded() throws IOException, InterruptedException {
+        start(Map.of("IdleClose", 600_000_000), 1024);
+        assertFalse(connected("s1"), "none yet");
+        try (Client client = new Client(at)) {
+            client.send(SAFE);
+            FakeUpstream.Got got = upstream.next();
+            assertFalse(connected("s1"), "it carries a request, and one at a time");
+            got.answer(200, "", "ok");
+            assertEquals(200, client.status());
+            assertTrue(connected("s1"));
+            assertFalse(connected("nobody"));
+        }
+    }
+
     @Test
     @Timeout(60)
     void nothingIsSentToAnUpstreamThatHasGone() throws IOException, InterruptedException {
