A request that may have lain unread while the loop was late is answered that much sooner

Checked: the answer's slack is 5 ms of the settings and 50 ms of the protocol, so one read more than 67 ms late and not served is lost, whatever the module does. At fault: Dispatcher.take, which counted a client's time from when the request was read. Change: a request's time counts from the last moment at which the loop is known to have looked at its sockets, told by the module's own wakes that are overdue; nothing is added where the loop is on time.

--- a/src/main/java/junctionhead/core/Dispatcher.java
+++ b/src/main/java/junctionhead/core/Dispatcher.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -77,6 +78,7 @@
     private final ArrayDeque<LongConsumer> waiting = new ArrayDeque<>();
     private Carrier carrier;
     private Membership membership = Membership.NONE;
+    private final PriorityQueue<Long> due = new PriorityQueue<>();  // the module's wakes that have not come
     private boolean handing;
     private boolean retired;
     private long taken;
@@ -145,13 +147,13 @@
         String id = Long.toString(++taken, Character.MAX_RADIX);
         Upload upload = asked.rest() == null ? null : new Upload(asked.rest());
         Order order = upload == null ? asked : asked.passing(upload, asked.length());
-        Exchange x = new Exchange(id, order, reply, now() + order.timeLeft(),
+        Exchange x = new Exchange(id, order, reply, now() + order.timeLeft() - waited(),
             boot.settings().limits().maxAttempts());
         table.put(id, x);
         ids.add(order.id());
         owed++;
         x.entry = tally.taken(order);
-        guard(x);
+        guard(x, x.deadline - now());
         if (upload != null) {
             x.arriving = true;
             upload.then = () -> arrived(x);
@@ -162,10 +164,17 @@
         return () -> gone(x);
     }
 
-    private void guard(Exchange x) {
-        x.guard = loop.after(Math.max(0, x.order.timeLeft() - GUARD), () -> {
+    // How long a request that is read now may have lain unread: what was due before that still waits for its
+    // turn, so the loop has not looked at its sockets since. Guards against answers that come in time by the
+    // balancer's count and too late by their client's, after a collection or a long turn.
+    private long waited() {
+        return due.isEmpty() ? 0 : Math.max(0, now() - due.peek());
+    }
+
+    private void guard(Exchange x, long left) {
+        x.guard = loop.after(Math.max(0, left - GUARD), () -> {
             if (x.arriving && x.out > 0) {
-                guard(x);                           // on its way: its time has not begun
+                guard(x, x.order.timeLeft());       // on its way: its time has not begun
             } else {
                 lastResort(x);
             }
@@ -190,8 +199,8 @@
         stalled(x, false);
         if (!x.closed) {
             x.guard.cancel();
-            x.deadline = now() + x.order.timeLeft();
-            guard(x);
+            x.deadline = now() + x.order.timeLeft() - waited();
+            guard(x, x.deadline - now());
             for (Attempt a : x.attempts) {
                 if (!a.ended) {
                     a.at = now();
@@ -469,7 +478,12 @@
 
     @Override
     public void wakeAfter(long delay) {
-        loop.after(delay, () -> hand(now -> policy.wake(now, this)));
+        long at = now() + delay;
+        due.add(at);
+        loop.after(delay, () -> {
+            due.remove(at);
+            hand(now -> policy.wake(now, this));
+        });
     }
 
     @Override
--- a/src/test/java/junctionhead/core/DispatcherTest.java
+++ b/src/test/java/junctionhead/core/DispatcherTest.java
@@ -216,6 +216,22 @@
         assertEquals(1, dispatcher.tally().failures());
     }
 
+    /** A wake that should have come 40 ms ago: the loop has not looked at its sockets for so long. */
+    @Test
+    void whatMayHaveLainUnreadIsAnsweredSooner() {
+        policy.silent = true;
+        dispatcher.wakeAfter(5_000);
+        loop.stall(45_000);
+        take();
+        assertEquals(48_000, carrier.started.get(0).wait);
+        loop.pass(53_999);
+        assertEquals(List.of(), answers.given);
+        loop.pass(1);
+        assertEquals(List.of("failed"), answers.given, "6 ms before its client's time is over");
+        take();                                     // the wake has come: nothing has lain unread
+        assertEquals(50_000, carrier.started.get(1).wait);
+    }
+
     @Test
     void aClientThatLeavesIsOwedNothingAndItsAttemptIsGivenUp() {
         Runnable leave = take();
--- a/src/test/java/junctionhead/core/VirtualLoop.java
+++ b/src/test/java/junctionhead/core/VirtualLoop.java
@@ -29,6 +29,11 @@
         return () -> entries.remove(entry);
     }
 
+    /** Time passes and nothing runs, as while a collection takes the thread; what is due runs late. */
+    void stall(long micros) {
+        now += micros;
+    }
+
     void pass(long micros) {
         long until = now + micros;
         while (!entries.isEmpty() && entries.peek().at() <= until) {
