--- a/src/main/java/junctionhead/Balance.java
+++ b/src/main/java/junctionhead/Balance.java
@@ -235,8 +235,8 @@
     // The queue signal, for a server of mean weight: own attempts in flight, the slots that quick failures
     // still keep, and what the other balancers have there. A balancer that sees a small part of the traffic
     // finds its own queues empty nearly always, and ties alone would then send all of it to one set. In
-    // another zone, where crossing has a price, a queue counts for longer: it must be worth the price. So does
-    // one that needs a handshake: chosen by queues alone, four requests in ten opened a connection.
+    // another zone, where crossing has a price, a queue counts for longer: it must be worth the price. So
+    // does one that needs a handshake: chosen by queues alone, four requests in ten opened a connection.
     private double queue(Node n, long now, Actions out) {
         while (!n.penalties.isEmpty() && n.penalties.peekFirst() <= now) {
             n.penalties.pollFirst();
