Read what came during a stall before ending anything, and stop by what was read

Change: SocketsFirst: a timer that is over 5 ms late lets the loop pass over its sockets first. LastCall (without I/O): the listener closes when two passes have found nothing new, and the process ends when nothing is owed, half there, at rest or unsent. A beat each 20 ms tells how long requests may have lain. A standstill of over 0.2 s is logged. The rig's balancer compiles as `run` does.

--- a/src/main/java/junctionhead/core/Dispatcher.java
+++ b/src/main/java/junctionhead/core/Dispatcher.java
@@ -24,6 +24,10 @@
     /** µs before that at which the last attempt ends, so that the module can word the answer itself. */
     static final long LAST_WORD = 6_000;
 
+    /** µs between signs of life of the loop: requests may have lain unread for as long as one is overdue. */
+    static final long BEAT = 20_000;
+    private static final long STILL = 200_000;      // µs that a beat may be late before it is told
+    private static final long STILL_PAUSE = 5_000_000;  // between such lines
     /** µs for which an upstream may take nothing of a long body that is there for it. */
     static final long STALLED = 10_000_000;
 
@@ -78,11 +82,12 @@
     private final ArrayDeque<LongConsumer> waiting = new ArrayDeque<>();
     private Carrier carrier;
     private Membership membership = Membership.NONE;
-    private final PriorityQueue<Long> due = new PriorityQueue<>();  // the module's wakes that have not come
+    private final PriorityQueue<Long> due = new PriorityQueue<>();  // wakes and beats that have not come
     private boolean handing;
     private boolean retired;
     private long taken;
     private long guarded;
+    private long stillAt;                           // when the next standstill may be told
     private long faults;
     private int owed;
     private Runnable whenIdle;
@@ -171,6 +176,21 @@
         return due.isEmpty() ? 0 : Math.max(0, now() - due.peek());
     }
 
+    /** From here on it is known at any time for how long the loop has not looked at its sockets. */
+    public void beat() {
+        long at = now() + BEAT;
+        due.add(at);
+        loop.after(BEAT, () -> {
+            due.remove(at);
+            long late = now() - at;
+            if (late > STILL && now() >= stillAt) {
+                stillAt = now() + STILL_PAUSE;
+                log.accept("stood still for " + late / 1000 + " ms: what came meanwhile lay unread");
+            }
+            beat();
+        });
+    }
+
     private void guard(Exchange x, long left) {
         x.guard = loop.after(Math.max(0, left - GUARD), () -> {
             if (x.arriving && x.out > 0) {
@@ -371,6 +391,11 @@
         retired = true;
     }
 
+    /** How many final answers are owed. */
+    public int owed() {
+        return owed;
+    }
+
     /** Runs {@code then} on the loop, once no final answer is owed any more. */
     public void whenIdle(Runnable then) {
         whenIdle = then;
--- a/src/main/java/junctionhead/front/http1/Client.java
+++ b/src/main/java/junctionhead/front/http1/Client.java
@@ -60,6 +60,7 @@
     private long movedAt;
     private long linger = LINGER_BYTES;             // bytes that are read behind the last answer
     private boolean ending;                         // the last answer has been written
+    private int unwritten;                          // answers that have not left whole
     private long since = System.nanoTime();         // the beginning of the receipt
     private final Lease lease;                      // what it has of the budget
     private long unreadSince;                       // 0: answers leave
@@ -76,6 +77,16 @@
         return lease;
     }
 
+    /** Whether part of a request has come, and not the rest. */
+    boolean isHalf() {
+        return receiving && !serving && !ending;
+    }
+
+    /** Whether an answer has not left whole. */
+    boolean isUnsent() {
+        return outflow != null || unwritten > 0;
+    }
+
     boolean passes() {
         return outflow != null;
     }
@@ -305,6 +316,8 @@
 
     // Its last byte has been written.
     private void end(ChannelFuture written, boolean stay, boolean more) {
+        unwritten++;
+        written.addListener(done -> unwritten--);
         if (stay) {
             serving = false;
             if (more && problem == null && !receiving && ahead.isEmpty()) {
@@ -417,6 +430,7 @@
     private final class Mark extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext context, Object part) {
+            server.hasRead();
             if (!receiving && !ending && !intake.flows()) {
                 receiving = true;
                 since = System.nanoTime();
--- a/src/main/java/junctionhead/front/http1/ClientServer.java
+++ b/src/main/java/junctionhead/front/http1/ClientServer.java
@@ -40,6 +40,8 @@
 import junctionhead.core.Room;
 import junctionhead.core.Stream;
 import junctionhead.http1.Http1Fields;
+import junctionhead.loop.SocketsFirst;
+import junctionhead.service.LastCall;
 import junctionhead.service.LifeCycle;
 
 /** The side to the clients: takes connections, hands requests over, and words each one's final answer. */
@@ -67,6 +69,8 @@
     private boolean makingRoom;
     private int strangers;                          // taken in during a rehearsal since the last look
     private boolean again;                          // room will be looked for again soon
+    private long comers;                            // connections so far
+    private long reads;                             // times that bytes of theirs were read, so far
     private Drill rehearsal;                    // while it is on
     private String elsewhere;                       // another protocol at which clients may ask, if any
 
@@ -115,7 +119,7 @@
                     }
                 });
             Channel bound = (shared ? bootstrap.register() : bootstrap.bind(at)).sync().channel();
-            loop.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+            SocketsFirst.every(loop, LOOK_MS, TimeUnit.MILLISECONDS, this::look);
             return (InetSocketAddress) bound.localAddress();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -163,10 +167,10 @@
         over.forEach(Client::close);
         if (over.size() == CLOSES) {
             winding = true;
-            loop.schedule(() -> {
+            SocketsFirst.after(loop, 1, TimeUnit.MILLISECONDS, () -> {
                 winding = false;
                 wind();
-            }, 1, TimeUnit.MILLISECONDS);
+            });
         }
     }
 
@@ -205,6 +209,23 @@
         return clients.stream().anyMatch(Client::passes);
     }
 
+    void hasRead() {
+        reads++;
+    }
+
+    /** How the connections stand, for a balancer that is to end and owes so many answers. */
+    public LastCall.Sight sight(int owed) {
+        int halves = 0;
+        int resting = 0;
+        int unsent = 0;
+        for (Client client : clients) {
+            halves += client.isHalf() ? 1 : 0;
+            resting += client.lease().atRest() ? 1 : 0;
+            unsent += client.isUnsent() ? 1 : 0;
+        }
+        return new LastCall.Sight(comers, reads, owed, halves, resting, unsent);
+    }
+
     /** How many connections clients hold here. */
     public int open() {
         return clients.size();
@@ -215,6 +236,7 @@
     private void opened(Channel channel) {
         Client client = new Client(this, channel);
         clients.add(client);
+        comers++;
         strangers++;
         channel.closeFuture().addListener(closed -> {
             budget.closed(client.lease(), System.nanoTime());
@@ -253,7 +275,7 @@
         budget.waiting(!room);
         if (listener.isOpen()) {
             boolean open = room && (rehearsal == null || strangers < STRANGERS)
-                && life.accepts(shared, System.nanoTime());
+                && life.accepts(shared);
             listener.config().setAutoRead(open);
             if (!open && !again) {
                 again = true;                       // a newcomer's fair time may be over before anything ends
--- a/src/main/java/junctionhead/node/NettyLoop.java
+++ b/src/main/java/junctionhead/node/NettyLoop.java
@@ -1,9 +1,9 @@
 package junctionhead.node;
 
 import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import junctionhead.core.Loop;
+import junctionhead.loop.SocketsFirst;
 
 /** The real event loop, as the core sees it. */
 record NettyLoop(EventLoop loop) implements Loop {
@@ -14,7 +14,6 @@
 
     @Override
     public Timer after(long delay, Runnable task) {
-        ScheduledFuture<?> future = loop.schedule(task, delay, TimeUnit.MICROSECONDS);
-        return () -> future.cancel(false);
+        return SocketsFirst.after(loop, delay, TimeUnit.MICROSECONDS, task)::cancel;
     }
 }
--- a/src/main/java/junctionhead/node/Node.java
+++ b/src/main/java/junctionhead/node/Node.java
@@ -33,8 +33,10 @@
 import junctionhead.front.management.Operations;
 import junctionhead.handover.Handover;
 import junctionhead.log.LineSink;
+import junctionhead.loop.SocketsFirst;
 import junctionhead.membership.Discovery;
 import junctionhead.membership.StaticList;
+import junctionhead.service.LastCall;
 import junctionhead.service.LifeCycle;
 import junctionhead.service.Succession;
 import junctionhead.upstream.Upstreams;
@@ -44,7 +46,8 @@
     private static final long LINGER_MS = TimeUnit.NANOSECONDS.toMillis(LifeCycle.LINGER);
     private static final long FOLLOW_MS = 50;       // between looks at what the life cycle says
     private static final long FORMER_MS = 10_000;   // for which classes that were dropped are served
-    private static final long FLUSH_MS = 20;        // for the last answers to leave
+    private static final long CALL_MS = 5;          // between looks at whether it may end
+    private static final long FLUSH_MS = 20;        // for the last answers to arrive
     private static final long LAST_LINES_MS = 500;  // for the last lines, if somebody reads them
 
     private final Consumer<String> log;
@@ -171,8 +174,9 @@
             log.accept("http3 on " + Addresses.text(beside));
             besides = beside;
         }
-        loop.scheduleWithFixedDelay(this::follow, FOLLOW_MS, FOLLOW_MS, TimeUnit.MILLISECONDS);
+        SocketsFirst.every(loop, FOLLOW_MS, TimeUnit.MILLISECONDS, this::follow);
         loop.execute(() -> {
+            dispatcher.beat();
             if (beside != null) {
                 clients.advertise(extra.advertisement(beside));
             }
@@ -455,26 +459,36 @@
                 extra.stopping();
             }
         });
-        loop.schedule(() -> {
+        LastCall last = new LastCall();
+        SocketsFirst.after(loop, LINGER_MS, TimeUnit.MILLISECONDS, () -> look(last));
+        await();
+        log.accept("stopped: " + dispatcher.summary() + "; " + budget.summary());
+        if (!config.inherited()) {      // its end would take standard error along, and the last lines
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
+    // Each time behind a pass over the sockets.
+    private void look(LastCall last) {
+        int passing = clients.passes() ? 1 : 0;     // a long answer: it takes as long as it takes
+        LastCall.Step step = last.look(clients.sight(dispatcher.owed() + passing));
+        if (step == LastCall.Step.END) {
+            end();
+            return;
+        }
+        if (step == LastCall.Step.CLOSE_LISTENER) {
+            life.lastCalled();
             clients.close();
             clients.follow();
             if (extra != null) {
                 extra.close();
             }
-            dispatcher.whenIdle(this::end);
-        }, LINGER_MS, TimeUnit.MILLISECONDS);
-        await();
-        log.accept("stopped: " + dispatcher.summary() + "; " + budget.summary());
-        if (!config.inherited()) {      // its end would take standard error along, and the last lines
-            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         }
+        SocketsFirst.after(loop, CALL_MS, TimeUnit.MILLISECONDS, () -> look(last));
     }
 
-    // Once no final answer is owed and no long one is under way.
     private void end() {
-        if (clients.passes()) {
-            loop.schedule(this::end, FLUSH_MS, TimeUnit.MILLISECONDS);
-        } else if (extra == null) {
+        if (extra == null) {
             loop.schedule(stopped::countDown, FLUSH_MS, TimeUnit.MILLISECONDS);
         } else {
             loop.schedule(extra::end, FLUSH_MS, TimeUnit.MILLISECONDS);
--- a/src/main/java/junctionhead/service/LifeCycle.java
+++ b/src/main/java/junctionhead/service/LifeCycle.java
@@ -37,9 +37,9 @@
 
     private State state = State.STARTING;
     private long since;                             // ns: the present state's beginning
-    private long stopping;                          // ns: when it was told to stop
     private boolean prepared;                       // it could serve
     private boolean succeeded;                      // a successor takes what comes
+    private boolean called;                         // nothing more comes before it ends
 
     /** {@code now}: its beginning. */
     public LifeCycle(long now) {
@@ -107,11 +107,15 @@
     /** It is to end; told twice, it counts once. */
     public void stop(long now) {
         if (state != State.STOPPING) {
-            stopping = now;
             enter(State.STOPPING, now);
         }
     }
 
+    /** It is about to end, and what came before has been read: see {@link LastCall}. */
+    public void lastCalled() {
+        called = state == State.STOPPING;
+    }
+
     /** Time passes; returns whether an evacuation has come to its end with that. */
     public boolean pass(long now) {
         if (state == State.EVACUATING && now - since >= EVACUATE) {
@@ -133,12 +137,12 @@
      *
      * @param shared the listener is not its own: whoever is ready accepts
      */
-    public boolean accepts(boolean shared, long now) {
+    public boolean accepts(boolean shared) {
         return switch (state) {
             case STARTING -> !shared;
             case READY, EVACUATING, EVACUATED -> true;
             case HANDING_OVER -> false;
-            case STOPPING -> !succeeded && now - stopping < LINGER;
+            case STOPPING -> !succeeded && !called;
         };
     }
 
@@ -161,7 +165,7 @@
             case EVACUATING -> age < LINGER ? NO_LIMIT : age < EVACUATE ? RESTED : 0;
             case EVACUATED -> LATE_REST;
             case HANDING_OVER -> age < LINGER ? NO_LIMIT : age < HAND_OVER ? RESTED : 0;
-            case STOPPING -> age >= LINGER ? 0 : succeeded ? RESTED : NO_LIMIT;
+            case STOPPING -> called ? 0 : succeeded ? RESTED : NO_LIMIT;
         };
     }
 }
--- a/src/rig/java/junctionhead/rig/BalancerProcess.java
+++ b/src/rig/java/junctionhead/rig/BalancerProcess.java
@@ -23,7 +23,7 @@
 final class BalancerProcess implements Balancer {
     private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-Xms40m", "-Xmx40m",
         "-XX:MaxDirectMemorySize=16m", "-XX:MaxMetaspaceSize=48m", "-XX:ReservedCodeCacheSize=16m",
-        "-XX:TieredStopAtLevel=1", "-XX:-BackgroundCompilation", "-XX:Tier3InvocationThreshold=100",
+        "-XX:TieredStopAtLevel=1", "-XX:Tier3InvocationThreshold=100",
         "-XX:Tier3MinInvocationThreshold=50", "-XX:Tier3CompileThreshold=600", "-Xss256k",
         "-XX:-UsePerfData", "-XX:+ExitOnOutOfMemoryError", "-Dio.netty.allocator.type=unpooled",
         "-Dio.netty.leakDetection.level=disabled");
--- /dev/null
+++ b/src/rig/java/junctionhead/rig/fleet/Member.java
@@ -0,0 +1,152 @@
+package junctionhead.rig.fleet;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import junctionhead.core.Addresses;
+
+/**
+ * One process of the program among several: started with a file of its own, told by signals, stalled and let
+ * go on again, always by its id. Ends with {@link #close}, stalled or not. May be used from any thread; waits
+ * throw IllegalStateException with the process's last lines where it says or does nothing for too long.
+ */
+public final class Member implements AutoCloseable {
+    private static final long PATIENCE_S = 90;      // for a process on a busy machine
+    private static final int LAST = 8;              // lines that a complaint quotes
+
+    private final Process process;
+    private final Path file;
+    private final List<String> lines = new ArrayList<>();
+
+    private Member(Process process, Path file) {
+        this.process = process;
+        this.file = file;
+        Thread reader = new Thread(this::read, "member-log");
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    /**
+     * Starts one; it may not listen yet.
+     *
+     * @param classPath what holds the program
+     * @param toml its configuration; see {@link #rewrite}
+     */
+    public static Member start(String classPath, String toml) throws IOException {
+        Path file = Files.createTempFile("member", ".toml");
+        Files.writeString(file, toml);
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        return new Member(new ProcessBuilder(java, "-XX:+UseSerialGC", "-Xms40m", "-Xmx40m",
+            "-XX:TieredStopAtLevel=1", "-Xss256k", "-cp", classPath, "junctionhead.cli.Cli", "serve",
+            "--config", file.toString()).redirectErrorStream(true).start(), file);
+    }
+
+    private void read() {
+        try (BufferedReader in = new BufferedReader(new InputStreamReader(process.getInputStream(),
+                StandardCharsets.UTF_8))) {
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                note(line);
+            }
+        } catch (IOException e) {
+            note("its log broke off: " + e.getMessage());
+        }
+    }
+
+    private synchronized void note(String line) {
+        lines.add(line);
+        notifyAll();
+    }
+
+    /** What it has said so far. */
+    public synchronized List<String> log() {
+        return List.copyOf(lines);
+    }
+
+    /** Waits for a line with these words, whether it has been said already or not, and returns it. */
+    public synchronized String line(String words) throws InterruptedException {
+        return first(line -> line.contains(words), "no line with '" + words + "'");
+    }
+
+    private String first(Predicate<String> wanted, String complaint) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        int seen = 0;
+        while (true) {
+            for (; seen < lines.size(); seen++) {
+                if (wanted.test(lines.get(seen))) {
+                    return lines.get(seen);
+                }
+            }
+            long left = TimeUnit.NANOSECONDS.toMillis(until - System.nanoTime());
+            if (left <= 0) {
+                throw new IllegalStateException(complaint + ": " + last());
+            }
+            wait(left);
+        }
+    }
+
+    private String last() {
+        return String.join(" | ", lines.subList(Math.max(0, lines.size() - LAST), lines.size()));
+    }
+
+    /** Where clients connect, once it listens. */
+    public InetSocketAddress address() throws InterruptedException {
+        return at("listening on ");
+    }
+
+    /** Where operators call, once it listens. */
+    public InetSocketAddress management() throws InterruptedException {
+        return at("management on ");
+    }
+
+    private InetSocketAddress at(String words) throws InterruptedException {
+        String line = line(words);
+        return Addresses.parse(line.substring(line.indexOf(words) + words.length()).strip());
+    }
+
+    /** Replaces its file; it reads it at the next {@link Signal#HUP}. */
+    public void rewrite(String toml) throws IOException {
+        Files.writeString(file, toml);
+    }
+
+    /** What a process can be told by its id. */
+    public enum Signal { STOP, CONT, TERM, HUP, KILL }
+
+    /** Sends the signal; a stalled process takes all but KILL and CONT only when it goes on. */
+    public void signal(Signal what) throws IOException, InterruptedException {
+        int code = new ProcessBuilder("kill", "-" + what, Long.toString(process.pid())).start().waitFor();
+        if (code != 0) {
+            throw new IOException("no process to tell " + what + ": " + last());
+        }
+    }
+
+    /** Waits for its end, and returns its exit code. */
+    public int await() throws InterruptedException {
+        if (!process.waitFor(PATIENCE_S, TimeUnit.SECONDS)) {
+            synchronized (this) {
+                throw new IllegalStateException("it does not end: " + last());
+            }
+        }
+        return process.exitValue();
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();                  // SIGKILL, which a stalled one takes as well
+        try {
+            process.waitFor(PATIENCE_S, TimeUnit.SECONDS);
+            Files.deleteIfExists(file);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (IOException e) {
+            file.toFile().deleteOnExit();
+        }
+    }
+}
--- /dev/null
+++ b/src/rig/java/junctionhead/rig/fleet/Wire.java
@@ -0,0 +1,82 @@
+package junctionhead.rig.fleet;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+/**
+ * A client's connection that sends bytes as it is told and says what came back: a whole answer, or how the
+ * connection ended without one. Blocks; for one thread.
+ */
+public final class Wire implements AutoCloseable {
+    private static final int PATIENCE_MS = 60_000;  // for an answer, on a busy machine
+
+    /** What came: a status, or 0 and why there was none; {@code stays}: it may be used again. */
+    public record Answer(int status, String text, boolean stays) { }
+
+    private final Socket socket = new Socket();
+    private InputStream in;
+
+    /** Connects; returns whether the other side's machine accepted. */
+    public boolean open(InetSocketAddress to) {
+        try {
+            socket.setSoTimeout(PATIENCE_MS);
+            socket.setTcpNoDelay(true);
+            socket.connect(to, PATIENCE_MS);
+            in = new BufferedInputStream(socket.getInputStream());
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Writes; returns whether the other side's machine took it. */
+    public boolean send(String text) {
+        try {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Waits for the next answer. */
+    public Answer answer() {
+        try {
+            ByteArrayOutputStream head = new ByteArrayOutputStream();
+            String text = "";
+            while (!text.endsWith("\r\n\r\n")) {
+                int c = in.read();
+                if (c < 0) {
+                    return new Answer(0, "ended after " + head.size() + " bytes", false);
+                }
+                head.write(c);
+                text = c == '\n' ? head.toString(StandardCharsets.ISO_8859_1) : "";
+            }
+            String low = text.toLowerCase(Locale.ROOT);
+            int length = Integer.parseInt(low.split("content-length: ")[1].split("\r\n")[0]);
+            byte[] body = in.readNBytes(length);
+            if (body.length < length) {
+                return new Answer(0, "ended within the body", false);
+            }
+            return new Answer(Integer.parseInt(text.split(" ")[1]),
+                new String(body, StandardCharsets.ISO_8859_1), !low.contains("connection: close"));
+        } catch (IOException e) {
+            return new Answer(0, e.getMessage(), false);
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);     // a socket's close does not fail by its peer
+        }
+    }
+}
--- a/src/test/java/junctionhead/core/DispatcherTest.java
+++ b/src/test/java/junctionhead/core/DispatcherTest.java
@@ -232,6 +232,26 @@
         assertEquals(50_000, carrier.started.get(1).wait);
     }
 
+    /** With no wake of the module's outstanding: the loop's own beat tells for how long it has not looked. */
+    @Test
+    void whatMayHaveLainUnreadIsKnownWithoutTheModulesWakes() {
+        policy.silent = true;
+        dispatcher.beat();
+        loop.stall(Dispatcher.BEAT + 40_000);
+        take();
+        assertEquals(48_000, carrier.started.get(0).wait);
+        loop.pass(0);                               // the beat has come
+        take();
+        assertEquals(50_000, carrier.started.get(1).wait);
+        assertEquals(List.of(), log);
+        loop.stall(Dispatcher.BEAT + 730_000);
+        loop.pass(0);
+        loop.stall(Dispatcher.BEAT + 730_000);      // right after that: no second line
+        loop.pass(0);
+        assertEquals(List.of("stood still for 730 ms: what came meanwhile lay unread"),
+            log.stream().filter(line -> line.startsWith("stood")).toList());
+    }
+
     @Test
     void aClientThatLeavesIsOwedNothingAndItsAttemptIsGivenUp() {
         Runnable leave = take();
--- a/src/test/java/junctionhead/service/LifeCycleTest.java
+++ b/src/test/java/junctionhead/service/LifeCycleTest.java
@@ -27,7 +27,7 @@
         assertEquals(Verdict.DONE, life.evacuate(0));
         assertEquals(Verdict.ALREADY, life.evacuate(MS));
         assertFalse(life.ready() || life.keeps());
-        assertTrue(life.accepts(false, 300 * MS), "the front still sends some");
+        assertTrue(life.accepts(false), "the front still sends some");
         assertEquals(Long.MAX_VALUE, life.restMost(300 * MS));
         assertEquals(500 * MS, life.restMost(700 * MS));
         assertEquals(0, life.restMost(1_700 * MS));
@@ -59,24 +59,24 @@
     void itHandsOverAndTakesBackWhereTheSuccessorIsGone() {
         LifeCycle life = ready();
         assertTrue(life.handOver(0));
-        assertFalse(life.accepts(true, 0) || life.ready() || life.keeps());
+        assertFalse(life.accepts(true) || life.ready() || life.keeps());
         assertEquals(Verdict.NOT_POSSIBLE, life.rejoin(1));
         assertTrue(life.takeBack(2));
-        assertTrue(life.accepts(true, 3) && life.ready());
+        assertTrue(life.accepts(true) && life.ready());
         life.handOver(4);
         life.stop(5);
         assertFalse(life.takeBack(6));
-        assertFalse(life.accepts(true, 7));
+        assertFalse(life.accepts(true));
         assertEquals(State.STOPPING, life.state());
     }
 
     @Test
     void aSharedListenerIsNotReadBeforeItIsReady() {
         LifeCycle life = new LifeCycle(0);
-        assertFalse(life.accepts(true, 0));
-        assertTrue(life.accepts(false, 0));
+        assertFalse(life.accepts(true));
+        assertTrue(life.accepts(false));
         life.prepared(0);
-        assertTrue(life.accepts(true, 0));
+        assertTrue(life.accepts(true));
     }
 
     @Test
@@ -86,9 +86,10 @@
         life.stop(100 * MS);
         assertEquals(Verdict.NOT_POSSIBLE, life.evacuate(101 * MS));
         assertEquals(Verdict.NOT_POSSIBLE, life.rejoin(101 * MS));
-        assertTrue(life.accepts(false, 400 * MS));
-        life.stop(600 * MS);
-        assertFalse(life.accepts(false, 701 * MS), "told twice, it counts from the first");
+        assertTrue(life.accepts(false));
+        assertEquals(Long.MAX_VALUE, life.restMost(9_000 * MS), "time alone does not tell what has come");
+        life.lastCalled();
+        assertFalse(life.accepts(false));
         assertEquals(0, life.restMost(701 * MS));
     }
 
@@ -112,6 +113,7 @@
                     case 5 -> {
                         if (random.nextInt(8) == 0) {
                             life.stop(now);
+                            life.lastCalled();
                             stopped = true;
                         }
                     }
@@ -120,7 +122,7 @@
                 boolean winds = life.state().ordinal() >= State.EVACUATING.ordinal();
                 String seen = history + " " + life.state();
                 assertFalse(winds && (life.ready() || life.keeps()), seen);
-                assertFalse(life.ready() && !life.accepts(true, now), seen);
+                assertFalse(life.ready() && !life.accepts(true), seen);
                 assertEquals(!winds, life.restMost(now + 700 * MS) == Long.MAX_VALUE, seen);
                 assertEquals(stopped, life.state() == State.STOPPING, seen);
             }
