Sleep until timers are due: the loop turned up to 38,000 times in 50 ms

Cause: balancers of the full fleet stood still for 0.2 to 1.1 s and lost what they held. Netty's NioIoHandler.millisBeforeDeadline rounds to the nearest millisecond; woken up to 0.5 ms before a timer the loop selects with no wait until it is due. On a clock that is told the processor time used in portions that took 20 to 130 ms at a time, and the balancer stood still to pay for it.

Ruled out: collections, compilation in either way, safepoints, locks, other work on the machine (waits for a core: a few ms).

Change: loop.WholeMillis rounds the wait up; timers run up to 1 ms late.

--- /dev/null
+++ b/src/main/java/junctionhead/loop/WholeMillis.java
@@ -0,0 +1,41 @@
+package junctionhead.loop;
+
+import io.netty.channel.DefaultSelectStrategyFactory;
+import io.netty.channel.IoEventLoop;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SelectStrategyFactory;
+import io.netty.channel.SingleThreadIoEventLoop;
+import io.netty.channel.nio.NioIoHandler;
+import java.nio.channels.spi.SelectorProvider;
+import java.util.concurrent.Executor;
+
+/**
+ * One event loop that sleeps until its next timer is due. Netty's selector waits whole milliseconds, rounds
+ * to the nearest, and where it wakes up to half of one too early it looks at its sockets again and again
+ * until the timer is due: hundreds of turns that do nothing, on the core that other balancers share. Here the
+ * wait is rounded up, and timers run up to a millisecond late. Ends as any group does.
+ */
+public final class WholeMillis extends MultiThreadIoEventLoopGroup {
+    private static final long MS = 1_000_000;
+
+    public WholeMillis() {
+        this(DefaultSelectStrategyFactory.INSTANCE);
+    }
+
+    /** With a strategy of its own, as tests that count turns have. */
+    WholeMillis(SelectStrategyFactory strategy) {
+        super(1, NioIoHandler.newFactory(SelectorProvider.provider(), strategy));
+    }
+
+    @Override
+    protected IoEventLoop newChild(Executor executor, IoHandlerFactory handler, Object... none) {
+        return new SingleThreadIoEventLoop(this, executor, handler) {
+            @Override
+            protected long delayNanos(long now) {
+                long left = super.delayNanos(now);
+                return left <= 0 ? left : left + (MS - left % MS) % MS;
+            }
+        };
+    }
+}
--- a/src/main/java/junctionhead/node/Node.java
+++ b/src/main/java/junctionhead/node/Node.java
@@ -3,8 +3,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
@@ -34,6 +32,7 @@
 import junctionhead.handover.Handover;
 import junctionhead.log.LineSink;
 import junctionhead.loop.SocketsFirst;
+import junctionhead.loop.WholeMillis;
 import junctionhead.membership.Discovery;
 import junctionhead.membership.StaticList;
 import junctionhead.service.LastCall;
@@ -51,8 +50,7 @@
     private static final long LAST_LINES_MS = 500;  // for the last lines, if somebody reads them
 
     private final Consumer<String> log;
-    private final EventLoopGroup group =
-        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopGroup group = new WholeMillis();
     private final EventLoop loop = group.next();
     private final Dispatcher dispatcher;
     private final Upstreams upstreams;
