Behind a standstill news of the list comes before requests that were read first

Dispatcher.hand told the module of each event in the order in which sockets were read, and Dispatcher.listed counted the grace from the reading.

Change: behind a standstill of over 0.1 s events wait for the end of the loop's pass, news of the list first, and the grace counts from when the loop may last have looked. The relay's hole holds once the call returns: on a busy machine an answer got through before.

--- a/src/main/java/junctionhead/core/Dispatcher.java
+++ b/src/main/java/junctionhead/core/Dispatcher.java
@@ -26,6 +26,7 @@
 
     /** µs between signs of life of the loop: requests may have lain unread for as long as one is overdue. */
     static final long BEAT = 20_000;
+    private static final long OLD_LIST = 100_000;   // µs of standstill behind which the list may have changed
     private static final long STILL = 200_000;      // µs that a beat may be late before it is told
     private static final long STILL_PAUSE = 5_000_000;  // between such lines
     /** µs for which an upstream may take nothing of a long body that is there for it. */
@@ -80,10 +81,12 @@
     private final Map<String, Exchange> table = new HashMap<>();
     private final Set<String> ids = new HashSet<>();    // clients' own names of what is in the table
     private final ArrayDeque<LongConsumer> waiting = new ArrayDeque<>();
+    private final ArrayDeque<LongConsumer> news = new ArrayDeque<>();  // of the list: before all that waits
     private Carrier carrier;
     private Membership membership = Membership.NONE;
     private final PriorityQueue<Long> due = new PriorityQueue<>();  // wakes and beats that have not come
     private boolean handing;
+    private boolean postponed;                      // to the end of the loop's pass over its sockets
     private boolean retired;
     private long taken;
     private long guarded;
@@ -123,16 +126,38 @@
 
     // The module is not re-entrant: what happens while it is at work or an action is carried out waits.
     private void hand(LongConsumer event) {
+        hand(waiting, event);
+    }
+
+    // Behind a standstill what has been read waits for the end of the pass, so that news of the list comes
+    // first, whichever socket was read before. Guards against sends to upstreams whose drain lies unread.
+    private void hand(ArrayDeque<LongConsumer> to, LongConsumer event) {
         if (retired) {
             return;
         }
-        waiting.add(event);
-        if (handing) {
+        to.add(event);
+        if (handing || postponed) {
             return;
         }
+        if (waited() > OLD_LIST) {
+            postponed = true;
+            loop.soon(() -> {
+                postponed = false;
+                handAll();
+            });
+        } else {
+            handAll();
+        }
+    }
+
+    private LongConsumer next() {
+        return news.isEmpty() ? waiting.poll() : news.poll();
+    }
+
+    private void handAll() {
         handing = true;
         try {
-            for (LongConsumer next = waiting.poll(); next != null; next = waiting.poll()) {
+            for (LongConsumer next = next(); next != null; next = next()) {
                 try {
                     next.accept(now());
                 } catch (RuntimeException e) {
@@ -381,9 +406,9 @@
     /** News of the list of upstreams; null: the call or the watch has failed. */
     public void listed(Policy.ListKind kind, Targets targets) {
         if (targets != null) {
-            carrier.listed(targets, now());
+            carrier.listed(targets, now() - waited());  // it was told as long ago
         }
-        hand(now -> policy.servers(now, kind, targets == null ? List.of() : targets.servers(), this));
+        hand(news, now -> policy.servers(now, kind, targets == null ? List.of() : targets.servers(), this));
     }
 
     /** The module is told nothing more, and so asks for nothing. */
--- a/src/rig/java/junctionhead/rig/UdpRelay.java
+++ b/src/rig/java/junctionhead/rig/UdpRelay.java
@@ -79,8 +79,9 @@
         loop.execute(() -> clients.values().forEach(Client::rebind));
     }
 
+    /** Holds for all that comes once this returns; not for the loop's own thread. */
     public void hole(Hole where) {
-        loop.execute(() -> hole = where);
+        loop.submit(() -> hole = where).syncUninterruptibly();
     }
 
     /** Other faults from here on. */
--- a/src/test/java/junctionhead/core/DispatcherTest.java
+++ b/src/test/java/junctionhead/core/DispatcherTest.java
@@ -37,9 +37,12 @@
         final List<Started> started = new ArrayList<>();
         final List<Order> orders = new ArrayList<>();
         boolean atOnce;                             // fails within send
+        long heard;                                 // of the list last
 
         @Override
-        public void listed(Targets targets, long now) { }
+        public void listed(Targets targets, long now) {
+            heard = now;
+        }
 
         @Override
         public Attempt send(String server, Order order, long wait, Listener listener) {
@@ -62,6 +65,7 @@
     /** Sends each request once, and fails it when the attempt has ended otherwise than well. */
     private static class OneTry implements Policy {
         final List<String> told = new ArrayList<>();
+        final List<String> seen = new ArrayList<>();    // lists and requests
         boolean silent;
 
         @Override
@@ -69,11 +73,14 @@
                 List<Integer> formerTenants, Actions out) { }
 
         @Override
-        public void servers(long now, ListKind kind, List<Server> servers, Actions out) { }
+        public void servers(long now, ListKind kind, List<Server> servers, Actions out) {
+            seen.add("list of " + servers.size());
+        }
 
         @Override
         public void request(long now, String request, int requestClass, int tenant, String key, long timeLeft,
                 long work, boolean resubmission, Actions out) {
+            seen.add("request");
             out.send(request, "s", 50_000);
         }
 
@@ -143,6 +150,11 @@
         dispatcher.attach(carrier, Membership.NONE);
     }
 
+    private Runnable takeFor(long time) {
+        return dispatcher.take(new Order("r1", "GET", "/k", Fields.NONE, new byte[0], 0, 0, "k", time, -1,
+            false), answers);
+    }
+
     private Runnable take() {
         return dispatcher.take(new Order("r1", "GET", "/k", Fields.NONE, new byte[0], 0, 0, "k", 100_000, -1,
             false), answers);
@@ -232,6 +244,25 @@
         assertEquals(50_000, carrier.started.get(1).wait);
     }
 
+    /** Requests and two lists lay unread, and the requests are read first: they go by the last list. */
+    @Test
+    void behindAStandstillNewsOfTheListComesFirst() {
+        dispatcher.beat();
+        loop.stall(Dispatcher.BEAT + 500_000);
+        takeFor(900_000);
+        takeFor(900_000);
+        dispatcher.listed(Policy.ListKind.PARTIAL, new Targets(2, false, List.of()));
+        dispatcher.listed(Policy.ListKind.PARTIAL, new Targets(3, false, List.of(new Targets.Target(
+            new Policy.Server("s", Policy.State.DRAINING, 0, 1, 0, 0, 0), null))));
+        assertEquals(loop.now() - 500_000, carrier.heard, "it was told as long ago");
+        assertEquals(List.of(), policy.seen);
+        loop.pass(0);
+        assertEquals(List.of("list of 0", "list of 1", "request", "request"), policy.seen);
+        policy.seen.clear();
+        takeFor(900_000);                           // it keeps up again: at once
+        assertEquals(List.of("request"), policy.seen);
+    }
+
     /** With no wake of the module's outstanding: the loop's own beat tells for how long it has not looked. */
     @Test
     void whatMayHaveLainUnreadIsKnownWithoutTheModulesWakes() {
--- a/src/test/java/junctionhead/rig/fleet/StallTest.java
+++ b/src/test/java/junctionhead/rig/fleet/StallTest.java
@@ -40,6 +40,7 @@
     private int fresh = 25;                         // that come while it stands
 
     private final Map<String, AtomicInteger> booked = new ConcurrentHashMap<>();
+    private final Map<Integer, AtomicInteger> received = new ConcurrentHashMap<>();     // by port
     private final List<Member> members = new ArrayList<>();
     private final List<List<Wire>> kept = new ArrayList<>();
     private final AtomicInteger ids = new AtomicInteger();
@@ -56,16 +57,25 @@
         box.createContext("/", exchange -> {
             String id = exchange.getRequestHeaders().getFirst("Req-Id");
             exchange.getRequestBody().readAllBytes();
+            received.get(box.getAddress().getPort()).incrementAndGet();
             booked.computeIfAbsent(id, i -> new AtomicInteger()).incrementAndGet();
             byte[] body = id.getBytes(StandardCharsets.ISO_8859_1);
             exchange.sendResponseHeaders(200, body.length);
             exchange.getResponseBody().write(body);
             exchange.close();
         });
+        received.put(box.getAddress().getPort(), new AtomicInteger());
         box.start();
         return box;
     }
 
+    private static String list(int rev, boolean all, List<HttpServer> boxes, String state) {
+        return "{\"rev\":" + rev + ",\"all\":" + all + ",\"targets\":[" + boxes.stream().map(box ->
+            "{\"uid\":\"box-" + box.getAddress().getPort() + "\",\"endpoint\":\"127.0.0.1:"
+                + box.getAddress().getPort() + "\",\"state\":\"" + state + "\"}")
+            .collect(Collectors.joining(",")) + "]}";
+    }
+
     private static String file(List<HttpServer> boxes) {
         StringBuilder servers = new StringBuilder();
         for (HttpServer box : boxes) {
@@ -76,6 +86,10 @@
                 address = "127.0.0.1:%d"
                 """.formatted(port, port));
         }
+        return file(servers.toString());
+    }
+
+    private static String file(String membership) {
         return """
             [node]
             listen = "127.0.0.1:0"
@@ -86,7 +100,7 @@
             effect = "unsafe"
             aim = "30s"
             deadline = "60s"
-            """.formatted(servers);
+            """.formatted(membership);
     }
 
     @BeforeEach
@@ -279,6 +293,46 @@
         }
     }
 
+    /**
+     * Half of the servers drain while it stands, for longer than the grace. The requests came before the
+     * news, and are read first when it wakes: they go by the news all the same.
+     */
+    @Test
+    void inServiceWithADrainToldMeanwhile() throws IOException, InterruptedException {
+        List<HttpServer> both = new ArrayList<>(first);
+        both.addAll(second);
+        try (ToldDiscovery discovery = new ToldDiscovery(list(1, true, both, "in_service"))) {
+            for (int i = 0; i < MEMBERS; i++) {
+                members.add(Member.start(CLASS_PATH, file("[membership]\nsource = \"discovery\"\n"
+                    + "address = \"127.0.0.1:" + discovery.address().getPort() + "\"\n")));
+            }
+            ready();
+            discovery.awaitWatches(MEMBERS);
+            keep();
+            discovery.beat();
+            List<Owed> all = new ArrayList<>();
+            for (int i = 0; i < MEMBERS; i++) {
+                tell(members.get(i), Member.Signal.STOP);
+                for (Wire wire : kept.get(i)) {
+                    all.add(ask(wire, "sent on a kept connection"));
+                }
+            }
+            discovery.tell(list(2, false, first, "terminating"), list(2, true, second, "in_service"));
+            Thread.sleep(1_200);                    // the grace, and its slack
+            int before = got(first);
+            for (Member member : members) {
+                tell(member, Member.Signal.CONT);
+            }
+            answered(all);
+            assertEquals(before, got(first), "requests that reached servers after their grace");
+            assertTrue(got(second) >= all.size());
+        }
+    }
+
+    private int got(List<HttpServer> boxes) {
+        return boxes.stream().mapToInt(box -> received.get(box.getAddress().getPort()).get()).sum();
+    }
+
     /** Told to end while it stands: the signal is there when it wakes. */
     @Test
     void toldToEndWhileItStands() throws IOException, InterruptedException {
