What follows from a standstill is decided in a class of its own

Need: the dispatcher "decides nothing" by its own page, and held four figures and a queue by which it judged for how long requests lay unread, whether the list may have changed, and when operators hear of it.

Change: core.Standstill, without I/O or clock (HouseTest holds it); Dispatcher feeds it timers and asks. No behaviour changes.

--- a/src/main/java/junctionhead/core/Dispatcher.java
+++ b/src/main/java/junctionhead/core/Dispatcher.java
@@ -6,7 +6,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -24,11 +23,6 @@
     /** µs before that at which the last attempt ends, so that the module can word the answer itself. */
     static final long LAST_WORD = 6_000;
 
-    /** µs between signs of life of the loop: requests may have lain unread for as long as one is overdue. */
-    static final long BEAT = 20_000;
-    private static final long OLD_LIST = 100_000;   // µs of standstill behind which the list may have changed
-    private static final long STILL = 200_000;      // µs that a beat may be late before it is told
-    private static final long STILL_PAUSE = 5_000_000;  // between such lines
     /** µs for which an upstream may take nothing of a long body that is there for it. */
     static final long STALLED = 10_000_000;
 
@@ -85,13 +79,12 @@
     private final ArrayDeque<LongConsumer> news = new ArrayDeque<>();  // of the list: before all that waits
     private Carrier carrier;
     private Membership membership = Membership.NONE;
-    private final PriorityQueue<Long> due = new PriorityQueue<>();  // wakes and beats that have not come
+    private final Standstill standstill = new Standstill();
     private boolean handing;
     private boolean postponed;                      // to the end of the loop's pass over its sockets
     private boolean retired;
     private long taken;
     private long guarded;
-    private long stillAt;                           // when the next standstill may be told
     private long faults;
     private int owed;
     private Runnable whenIdle;
@@ -140,7 +133,7 @@
         if (handing || postponed) {
             return;
         }
-        if (waited() > OLD_LIST) {
+        if (standstill.hidesNews(now())) {
             postponed = true;
             loop.soon(() -> {
                 postponed = false;
@@ -178,7 +171,7 @@
         String id = Long.toString(++taken, Character.MAX_RADIX);
         Upload upload = asked.rest() == null ? null : new Upload(asked.rest());
         Order order = upload == null ? asked : asked.passing(upload, asked.length());
-        Exchange x = new Exchange(id, order, reply, now() + order.timeLeft() - waited(),
+        Exchange x = new Exchange(id, order, reply, now() + order.timeLeft() - standstill.unread(now()),
             boot.settings().limits().maxAttempts());
         table.put(id, x);
         ids.add(order.id());
@@ -200,28 +193,25 @@
         return () -> gone(x);
     }
 
-    // How long a request that is read now may have lain unread: what was due before that still waits for its
-    // turn, so the loop has not looked at its sockets since. Guards against answers that come in time by the
-    // balancer's count and too late by their client's, after a collection or a long turn.
-    private long waited() {
-        return due.isEmpty() ? 0 : Math.max(0, now() - due.peek());
-    }
-
     /** From here on it is known at any time for how long the loop has not looked at its sockets. */
     public void beat() {
-        long at = now() + BEAT;
-        due.add(at);
-        loop.after(BEAT, () -> {
-            due.remove(at);
-            long late = now() - at;
-            if (late > STILL && now() >= stillAt) {
-                stillAt = now() + STILL_PAUSE;
+        due(Standstill.BEAT, late -> {
+            if (standstill.tells(late, now())) {
                 log.accept("stood still for " + late / 1000 + " ms: what came meanwhile lay unread");
             }
             beat();
         });
     }
 
+    private void due(long delay, LongConsumer task) {
+        long at = now() + delay;
+        standstill.expect(at);
+        loop.after(delay, () -> {
+            standstill.came(at);
+            task.accept(now() - at);
+        });
+    }
+
     private void guard(Exchange x, long left) {
         x.guard = loop.after(Math.max(0, left - GUARD), () -> {
             if (x.arriving && x.out > 0) {
@@ -250,7 +240,7 @@
         stalled(x, false);
         if (!x.closed) {
             x.guard.cancel();
-            x.deadline = now() + x.order.timeLeft() - waited();
+            x.deadline = now() + x.order.timeLeft() - standstill.unread(now());
             guard(x, x.deadline - now());
             for (Attempt a : x.attempts) {
                 if (!a.ended) {
@@ -418,7 +408,7 @@
     /** News of the list of upstreams; null: the call or the watch has failed. */
     public void listed(Policy.ListKind kind, Targets targets) {
         if (targets != null) {
-            carrier.listed(targets, now() - waited());  // it was told as long ago
+            carrier.listed(targets, now() - standstill.unread(now()));  // it was told as long ago
         }
         hand(news, now -> policy.servers(now, kind, targets == null ? List.of() : targets.servers(), this));
     }
@@ -542,12 +532,7 @@
 
     @Override
     public void wakeAfter(long delay) {
-        long at = now() + delay;
-        due.add(at);
-        loop.after(delay, () -> {
-            due.remove(at);
-            hand(now -> policy.wake(now, this));
-        });
+        due(delay, late -> hand(now -> policy.wake(now, this)));
     }
 
     @Override
--- a/src/test/java/junctionhead/HouseTest.java
+++ b/src/test/java/junctionhead/HouseTest.java
@@ -47,7 +47,8 @@
             .belongToAnyOf(OrderRules.class, Tally.class, Balance.class, Room.class, DrainGrace.class,
                 HeadRules.class,
                 MessageState.class, Endings.class, BoxPlan.class, Sessions.class, ResetGuard.class,
-                RetryTokens.class).or().haveNameMatching(
+                RetryTokens.class).or()
+            .haveFullyQualifiedName("junctionhead.core.Standstill").or().haveNameMatching(
                 "junctionhead\\.rig\\.(Ledger|BoxModel|Cell|Script|Report|Scenario|Tallies)(\\$.*)?")
             .should().dependOnClassesThat().resideInAnyPackage(IO)
             .orShould().callMethod(System.class, "nanoTime")
--- a/src/test/java/junctionhead/core/DispatcherTest.java
+++ b/src/test/java/junctionhead/core/DispatcherTest.java
@@ -248,7 +248,7 @@
     @Test
     void behindAStandstillNewsOfTheListComesFirst() {
         dispatcher.beat();
-        loop.stall(Dispatcher.BEAT + 500_000);
+        loop.stall(Standstill.BEAT + 500_000);
         takeFor(900_000);
         takeFor(900_000);
         dispatcher.listed(Policy.ListKind.PARTIAL, new Targets(2, false, List.of()));
@@ -267,14 +267,14 @@
     @Test
     void whoeverLeavesBeforeTheModuleHeardOfItIsNotToldToIt() {
         dispatcher.beat();
-        loop.stall(Dispatcher.BEAT + 500_000);
+        loop.stall(Standstill.BEAT + 500_000);
         takeFor(900_000).run();
         loop.pass(0);
         assertEquals(List.of(), policy.seen);
         assertEquals(List.of(), policy.told);
         assertFalse(dispatcher.holds("r1"));
         assertEquals(0, dispatcher.owed());
-        loop.stall(Dispatcher.BEAT + 500_000);
+        loop.stall(Standstill.BEAT + 500_000);
         takeFor(900_000);
         dispatcher.retire();
         loop.pass(0);
@@ -286,16 +286,16 @@
     void whatMayHaveLainUnreadIsKnownWithoutTheModulesWakes() {
         policy.silent = true;
         dispatcher.beat();
-        loop.stall(Dispatcher.BEAT + 40_000);
+        loop.stall(Standstill.BEAT + 40_000);
         take();
         assertEquals(48_000, carrier.started.get(0).wait);
         loop.pass(0);                               // the beat has come
         take();
         assertEquals(50_000, carrier.started.get(1).wait);
         assertEquals(List.of(), log);
-        loop.stall(Dispatcher.BEAT + 730_000);
+        loop.stall(Standstill.BEAT + 730_000);
         loop.pass(0);
-        loop.stall(Dispatcher.BEAT + 730_000);      // right after that: no second line
+        loop.stall(Standstill.BEAT + 730_000);      // right after that: no second line
         loop.pass(0);
         assertEquals(List.of("stood still for 730 ms: what came meanwhile lay unread"),
             log.stream().filter(line -> line.startsWith("stood")).toList());
