Connections that come up behind a standstill wait for news of the list as well

Requests sent right before the stall were dialling; at the waking their connections were up before the list had been read (Upstreams.dial). And the loop may go on with a pass that began before the stall, in which discovery's socket is not: the end of that pass (loop.soon) is too early.

Change: Dispatcher.afterNews runs at once where the loop keeps up, else behind a whole pass; hand and the carrier's dial use it. A dial that comes up too late for its upstream never ran and is told as CONNECT_FAILED, not NOT_SENT, so the module may take another server.

Not changed: dials over HTTP/3 (issues of other protocols wait).

--- a/src/main/java/junctionhead/core/Dispatcher.java
+++ b/src/main/java/junctionhead/core/Dispatcher.java
@@ -81,7 +81,7 @@
     private Membership membership = Membership.NONE;
     private final Standstill standstill = new Standstill();
     private boolean handing;
-    private boolean postponed;                      // to the end of the loop's pass over its sockets
+    private boolean postponed;                      // until news of the list has been read
     private boolean retired;
     private long taken;
     private long guarded;
@@ -123,8 +123,9 @@
         hand(waiting, event);
     }
 
-    // Behind a standstill what has been read waits for the end of the pass, so that news of the list comes
-    // first, whichever socket was read before. Guards against sends to upstreams whose drain lies unread.
+    // Behind a standstill what has been read waits for a pass over the sockets, so that news of the list
+    // comes first, whichever socket was read before. Guards against sends to upstreams whose drain lies
+    // unread.
     private void hand(ArrayDeque<LongConsumer> to, LongConsumer event) {
         if (retired) {
             return;
@@ -133,14 +134,23 @@
         if (handing || postponed) {
             return;
         }
+        postponed = true;
+        afterNews(() -> {
+            postponed = false;
+            handAll();
+        });
+    }
+
+    /**
+     * Runs {@code task} once news of the list that may lie unread has been read: at once where the loop keeps
+     * up, else behind a whole pass over its sockets. The present pass may have begun before the standstill,
+     * and look at none that became ready since. On the loop.
+     */
+    public void afterNews(Runnable task) {
         if (standstill.hidesNews(now())) {
-            postponed = true;
-            loop.soon(() -> {
-                postponed = false;
-                handAll();
-            });
+            loop.soon(() -> loop.after(0, task));
         } else {
-            handAll();
+            task.run();
         }
     }
 
--- a/src/main/java/junctionhead/node/Rehearsal.java
+++ b/src/main/java/junctionhead/node/Rehearsal.java
@@ -64,8 +64,8 @@
         Policy policy = new Balance(boot.settings(), config.seed());
         dispatcher = new Dispatcher(new NettyLoop(loop), Clock.system(), boot, policy, line -> { });
         Budget budget = new Budget(config.connections(), System.nanoTime());
-        back = new Upstreams(loop, boot, budget, dispatcher::now, through);
-        front = new Upstreams(loop, boot, budget, dispatcher::now, through);
+        back = new Upstreams(loop, boot, budget, dispatcher::now, Runnable::run, through);
+        front = new Upstreams(loop, boot, budget, dispatcher::now, Runnable::run, through);
         dispatcher.attach(back, Membership.NONE);
     }
 
--- a/src/main/java/junctionhead/upstream/Upstreams.java
+++ b/src/main/java/junctionhead/upstream/Upstreams.java
@@ -31,6 +31,7 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import junctionhead.LoadReport;
 import junctionhead.Policy;
 import junctionhead.Policy.Outcome;
@@ -73,19 +74,23 @@
     private SettingsReader.Boot boot;
     private final Budget budget;
     private final Clock clock;
+    private final Consumer<Runnable> afterNews;
     private final Bootstrap bootstrap;
     private final SocketAddress all;                // where every upstream stands, or null
     private IdleRest rest;
     private final Map<String, Upstream> upstreams = new HashMap<>();
     private final Future<?> sweep;
 
-    public Upstreams(EventLoop loop, SettingsReader.Boot boot, Budget budget, Clock clock) {
-        this(loop, boot, budget, clock, null);
+    /** {@code afterNews} runs what it is given once no news of the list lies unread, on the loop. */
+    public Upstreams(EventLoop loop, SettingsReader.Boot boot, Budget budget, Clock clock,
+            Consumer<Runnable> afterNews) {
+        this(loop, boot, budget, clock, afterNews, null);
     }
 
     /** The same where all upstreams stand at one socket of the file system; null: each at its own address. */
     public Upstreams(EventLoop loop, SettingsReader.Boot boot, Budget budget, Clock clock,
-            SocketAddress all) {
+            Consumer<Runnable> afterNews, SocketAddress all) {
+        this.afterNews = afterNews;
         this.all = all;
         this.loop = loop;
         this.boot = boot;
@@ -214,14 +219,8 @@
             if (!done.isSuccess()) {
                 connection.finish(Outcome.CONNECT_FAILED, null, null);
                 connection.channel.close();
-            } else if (connection.call == null) {
-                connection.rest();          // its attempt was given up meanwhile: the handshake is paid for
-            } else if (clock.now() >= u.stopAt) {
-                // Rule 3: the list changed while this one waited for its connection.
-                connection.finish(Outcome.NOT_SENT, null, null);
-                connection.close();
             } else {
-                connection.write(connection.call);
+                afterNews.accept(connection::up);
             }
         });
     }
@@ -355,6 +354,22 @@
             return channel.isActive() && rest.usable(clock.now() - idleSince);
         }
 
+        // Its handshake is over.
+        void up() {
+            if (!channel.isActive()) {
+                return;                     // it has ended meanwhile, and closed() has told so
+            }
+            if (call == null) {
+                rest();                     // its attempt was given up meanwhile: the handshake is paid for
+            } else if (clock.now() >= upstream.stopAt) {
+                // Rule 3: the list changed while this one waited for its connection. Another may take it.
+                finish(Outcome.CONNECT_FAILED, null, null);
+                close();
+            } else {
+                write(call);
+            }
+        }
+
         void write(Call next) {
             call = next;
             next.connection = this;
--- a/src/rig/java/junctionhead/rig/BalancerProcess.java
+++ b/src/rig/java/junctionhead/rig/BalancerProcess.java
@@ -87,7 +87,7 @@
         Files.writeString(folder.resolve("cert.pem"), identity[0]);
         Files.writeString(folder.resolve("key.pem"), identity[1]);
         Path config = folder.resolve("config.json");
-        Files.writeString(config, Http3Toml.of(scenario, discovery));
+        Files.writeString(config, BalancerToml.http3(scenario, discovery));
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(FLAGS);
--- a/src/rig/java/junctionhead/rig/Fleet.java
+++ b/src/rig/java/junctionhead/rig/Fleet.java
@@ -132,6 +132,16 @@
         return all;
     }
 
+    /** How many watches discovery holds; on the loop. */
+    int watches() {
+        return discovery.watches();
+    }
+
+    /** A box leaves service in order; on the loop. */
+    void drain(String box) {
+        discovery.set(box, StandInDiscovery.State.TERMINATING);
+    }
+
     void close() {
         discovery.close();
         boxes.forEach(StandInBox::close);
--- a/src/rig/java/junctionhead/rig/StandInDiscovery.java
+++ b/src/rig/java/junctionhead/rig/StandInDiscovery.java
@@ -124,6 +124,10 @@
         }
     }
 
+    int watches() {
+        return watches.size();
+    }
+
     State state(String box) {
         return entries.get(box).state;
     }
