--- a/src/main/java/junctionhead/membership/Discovery.java
+++ b/src/main/java/junctionhead/membership/Discovery.java
@@ -26,7 +26,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -36,6 +35,7 @@
 import junctionhead.core.Addresses;
 import junctionhead.core.Membership;
 import junctionhead.core.Targets;
+import junctionhead.loop.SocketsFirst;
 
 /**
  * Asks discovery for the list and watches its changes: where discovery is asked, only as the module wishes;
@@ -125,7 +125,7 @@
         private final String uri;
         private final boolean watching;
         private Channel channel;
-        private Future<?> silence;
+        private SocketsFirst.Handle silence;
         private boolean answered;                   // the module has had what its call was for
         private boolean over;
 
@@ -169,18 +169,18 @@
             if (watch == this) {
                 watch = null;
             }
-            silence.cancel(false);
+            silence.cancel();
             channel.close();
         }
 
         // Guards against a discovery that is cut off: its connection stays open and silent.
         private void heard() {
             if (silence != null) {
-                silence.cancel(false);
+                silence.cancel();
             }
-            silence = loop.schedule(() -> {
-                ended();
-            }, answered && watching ? MISSING_MS : SILENCE_MS, TimeUnit.MILLISECONDS);
+            // What was said while this process stood still lies in the socket: it is read first.
+            silence = SocketsFirst.after(loop, answered && watching ? MISSING_MS : SILENCE_MS,
+                TimeUnit.MILLISECONDS, this::ended);
         }
 
         @Override
--- a/src/rig/java/junctionhead/cli/StandstillsCommand.java
+++ b/src/rig/java/junctionhead/cli/StandstillsCommand.java
@@ -40,6 +40,7 @@
                 Standstills.Outcome outcome = run.play(when);
                 Runtime.getRuntime().removeShutdownHook(hook);
                 System.out.println(outcome.summary());
+                outcome.examples().forEach(e -> System.out.println("  " + e));
                 code = outcome.isClean() ? code : 1;
             }
         }
