--- a/src/test/java/junctionhead/FourRulesTest.java
+++ b/src/test/java/junctionhead/FourRulesTest.java
@@ -52,6 +52,31 @@
         assertFalse(harness.sentFor("r").get(1).server.equals(first.server));
     }
 
+    /** Repeats are dropped for 2 s from the first send: a connection may come up later than that. */
+    @Test
+    void aKeyedRepeatSaysHowLongItMayTakeToBegin() {
+        Harness harness = warm(Harness.kind(Effect.KEYED, Scope.CELL));
+        Harness.Sent first = harness.request("r", 0);
+        harness.pass(400_000);
+        harness.end(first, Outcome.RESET);
+        assertEquals(2, harness.sentFor("r").size());
+        long left = harness.within.get("r");
+        assertTrue(left > 1_500_000 && left <= first.at + 2_000_000 - harness.now, "left: " + left);
+        assertFalse(harness.within.containsKey("warm-" + Harness.START + "-0"), "a first send may come late");
+    }
+
+    @Test
+    void aKeyedRequestThatMayNotBeRepeatedAnyMoreIsAnsweredAtOnce() {
+        RequestClass kind = new RequestClass(Effect.KEYED, Scope.CELL, 300_000, Harness.AIM,
+            Harness.DEADLINE, 0, 1, 1, false);
+        Harness harness = warm(kind);
+        Harness.Sent first = harness.request("r", 0);
+        harness.pass(310_000);
+        harness.end(first, Outcome.RESET);
+        assertEquals("failed", harness.finals.get("r"), "not held until its deadline nears");
+        assertEquals(1, harness.sentFor("r").size());
+    }
+
     @Test
     void anUnsafeRequestGetsNoSecondCopy() {
         Harness harness = warm(UNSAFE);
--- a/src/test/java/junctionhead/Harness.java
+++ b/src/test/java/junctionhead/Harness.java
@@ -50,6 +50,7 @@
     final List<Sent> sends = new ArrayList<>();
     final Map<String, Integer> attempts = new LinkedHashMap<>();
     final Map<String, String> finals = new LinkedHashMap<>();
+    final Map<String, Long> within = new LinkedHashMap<>();     // of each request's last send that had one
     final List<String> cancels = new ArrayList<>();
     final List<String> log = new ArrayList<>();
     long now = START;
@@ -177,6 +178,12 @@
         log.add(now + " send " + request + " " + server + " " + timeout);
     }
 
+    @Override
+    public void send(String request, String server, long timeout, long mostUntilBegun) {
+        within.put(request, mostUntilBegun);
+        send(request, server, timeout);
+    }
+
     private void answer(String request, String how) {
         if (finals.putIfAbsent(request, how) != null) {
             doubleFinals++;
