--- a/src/main/java/junctionhead/upstream/Upstreams.java
+++ b/src/main/java/junctionhead/upstream/Upstreams.java
@@ -172,8 +172,8 @@
     private Connection ready(Upstream u) {
         for (Iterator<Connection> i = u.idle.descendingIterator(); i.hasNext();) {
             Connection c = i.next();
-            if (c.settled()) {
-                return c.usable() ? c : null;
+            if (c.settled() && c.usable()) {
+                return c;
             }
         }
         return null;
--- /dev/null
+++ b/src/test/java/junctionhead/cli/SignalsTest.java
@@ -0,0 +1,106 @@
+package junctionhead.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Signals within a start: the process reads its configuration from a pipe, and so waits for the test. */
+@Timeout(120)
+class SignalsTest {
+    private static final String FILE = """
+        [node]
+        listen = "127.0.0.1:0"
+        [[membership.server]]
+        id = "a"
+        address = "127.0.0.1:1"
+        [[class]]
+        name = "read"
+        effect = "safe"
+        aim = "1s"
+        deadline = "2s"
+        """;
+
+    private Path folder;
+    private Path pipe;
+    private Process process;
+    private BufferedReader out;
+
+    @BeforeEach
+    void begin() throws IOException, InterruptedException {
+        folder = Files.createTempDirectory("signals");
+        pipe = pipe(folder.resolve("node.toml"));
+        process = CliTest.start("serve", "--config", pipe.toString());
+        out = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+    }
+
+    private static Path pipe(Path at) throws IOException, InterruptedException {
+        assertEquals(0, new ProcessBuilder("mkfifo", at.toString()).start().waitFor());
+        return at;
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        process.destroyForcibly();
+        Files.delete(pipe);
+        Files.delete(folder);
+    }
+
+    private void signal(String name) throws IOException, InterruptedException {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start()
+            .waitFor());
+    }
+
+    private String line(String words) throws IOException {
+        StringBuilder seen = new StringBuilder();
+        for (String line = out.readLine(); line != null; line = out.readLine()) {
+            seen.append(line).append('\n');
+            if (line.contains(words)) {
+                return line;
+            }
+        }
+        throw new AssertionError("no line with '" + words + "' in: " + seen);
+    }
+
+    @Test
+    void aNewConfigurationWithinTheStartIsTakenOverAndEndsNothing() throws IOException, InterruptedException {
+        try (var writer = Files.newBufferedWriter(pipe)) {      // opens once the process reads
+            signal("HUP");
+            signal("HUP");
+            // Replaced meanwhile: what is read again is another pipe.
+            Files.move(pipe(folder.resolve("next.toml")), pipe, StandardCopyOption.REPLACE_EXISTING);
+            writer.write(FILE);
+        }
+        Files.writeString(pipe, FILE);                          // once it reads again
+        line("configuration taken over");
+        line("listening on ");
+        signal("TERM");
+        signal("HUP");
+        signal("TERM");
+        assertTrue(line("stopped: ").contains("0 unanswered"));
+        assertTrue(process.waitFor(60, TimeUnit.SECONDS));
+        assertEquals(0, process.exitValue());
+    }
+
+    @Test
+    void theWordToEndWithinTheStartEndsItInOrder() throws IOException, InterruptedException {
+        try (var writer = Files.newBufferedWriter(pipe)) {
+            signal("TERM");
+            line("stopped before it listened");
+            assertTrue(process.waitFor(60, TimeUnit.SECONDS));
+            assertEquals(0, process.exitValue());
+            writer.write("");
+        }
+    }
+}
