--- a/src/test/java/junctionhead/cli/SignalsTest.java
+++ b/src/test/java/junctionhead/cli/SignalsTest.java
@@ -17,7 +17,7 @@
 import org.junit.jupiter.api.Timeout;
 
 /** Signals within a start: the process reads its configuration from a pipe, and so waits for the test. */
-@Timeout(120)
+@Timeout(value = 120, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)   // a pipe waits for ever
 class SignalsTest {
     private static final String FILE = """
         [node]
