--- a/src/main/java/junctionhead/Balance.java
+++ b/src/main/java/junctionhead/Balance.java
@@ -373,7 +373,7 @@
         if (first == null || r.kind.effect() == Effect.SAFE) {
             return true;
         }
-        if (r.kind.effect() == Effect.UNSAFE || now - first.at >= r.kind.keyMemory() - tick) {
+        if (r.kind.effect() == Effect.UNSAFE || memoryLeft(r, now) <= 0) {
             return false;
         }
         return switch (r.kind.scope()) {
@@ -383,6 +383,11 @@
         };
     }
 
+    // For how long the servers still drop a repeat of a keyed request that may have run.
+    private long memoryLeft(Request r, long now) {
+        return firstThatMayHaveRun(r).at + r.kind.keyMemory() - tick - now;
+    }
+
     private static Attempt firstThatMayHaveRun(Request r) {
         return r.attempts.stream().filter(a -> a.mayHaveRun).findFirst().orElse(null);
     }
@@ -619,6 +624,8 @@
     }
 
     private void send(Request r, Node n, long now, Actions out) {
+        boolean repeats = firstThatMayHaveRun(r) != null && r.kind.effect() == Effect.KEYED;
+        long within = repeats ? memoryLeft(r, now) : 0;
         Attempt a = new Attempt(n, r, now);
         r.attempts.add(a);
         r.out++;
@@ -627,7 +634,11 @@
         inFlight++;
         n.count += scale;
         n.tokens--;
-        out.send(r.id, n.server.id(), timeout(r, now));
+        if (repeats) {              // its connection may take longer to come up than repeats are dropped for
+            out.send(r.id, n.server.id(), timeout(r, now), within);
+        } else {
+            out.send(r.id, n.server.id(), timeout(r, now));
+        }
     }
 
     // What is not safe to repeat is given up at its aim, where a late answer earns little: its client won't
@@ -725,6 +736,9 @@
     // After a failed attempt: another one, if the class, the deadline and the retry budget allow it.
     private void again(Request r, Outcome outcome, long now, Actions out) {
         boolean allowed = outcome.neverRan() || r.kind.effect() != Effect.UNSAFE && retryBudget >= 1;
+        // Nothing can be won by holding what may not be repeated any more.
+        allowed &= r.kind.effect() != Effect.KEYED || firstThatMayHaveRun(r) == null
+            || memoryLeft(r, now) > 0;
         if (!allowed || outcome == Outcome.NOT_SENT || r.attempts.size() >= r.limits.maxAttempts()
             || now >= (r.kind.effect() == Effect.SAFE ? r.deadline : r.aimAt) - tick) {
             finish(r, now, out);
--- a/src/main/java/junctionhead/Policy.java
+++ b/src/main/java/junctionhead/Policy.java
@@ -208,6 +208,15 @@
         /** Send an attempt; {@code timeout} 0 means until the request's deadline. */
         void send(String request, String server, long timeout);
 
+        /**
+         * The same, if it can be begun within that time, in µs: from then on it must not run any more, and
+         * ends as {@link Outcome#NOT_SENT} where its connection comes up later. No other where sends take no
+         * time.
+         */
+        default void send(String request, String server, long timeout, long within) {
+            send(request, server, timeout);
+        }
+
         /** Final answer: refused, trying again is harmless; {@code retryAfter} 0 gives no advice. */
         void refuse(String request, long retryAfter);
 
--- a/src/main/java/junctionhead/connections/IdleRest.java
+++ b/src/main/java/junctionhead/connections/IdleRest.java
@@ -10,12 +10,33 @@
     private static final double SHARE = 0.5;        // of the time after which upstreams close an idle one
     private static final long MOST = 6_000_000;
     private static final long SPARE = 500_000;
+    private static final long SETTLES = 20_000;
 
     private final long most;
+    private final long settles;
 
     /** {@code closedAfter}: when upstreams close an idle connection themselves, 0 where that isn't known. */
     public IdleRest(long closedAfter) {
+        this(closedAfter, SETTLES);
+    }
+
+    private IdleRest(long closedAfter, long settles) {
         most = closedAfter > 0 ? (long) Math.min(MOST, closedAfter * SHARE) : MOST;
+        this.settles = Math.min(settles, most / 4);
+    }
+
+    /** The same where the other side is known to answer once, as a rehearsal's own is. */
+    public static IdleRest trusting(long closedAfter) {
+        return new IdleRest(closedAfter, 0);
+    }
+
+    /**
+     * Whether nothing more is to be feared on a connection idle for so long. Guards against a second answer
+     * that comes some milliseconds behind the first: on a connection in use again it was taken for that of
+     * the next request, for nothing in HTTP/1.1 tells them apart.
+     */
+    public boolean settled(long idle) {
+        return idle >= settles;
     }
 
     /** Whether a connection idle for so long may still take a request. */
--- a/src/main/java/junctionhead/core/Carrier.java
+++ b/src/main/java/junctionhead/core/Carrier.java
@@ -21,13 +21,24 @@
     interface Attempt {
         /** Stops waiting and tells nobody from here on. */
         Fate giveUp();
+
+        /**
+         * Takes it back where none of it has been written yet, and tells nobody from here on; false where it
+         * goes on. No cancellation of work: there is none, whatever the settings say of that.
+         */
+        boolean withdraw();
     }
 
     /** The list of upstreams has changed; {@code now} in µs by the node's clock. */
     void listed(Targets targets, long now);
 
-    /** Starts an attempt; {@code wait} is how long its answer is waited for, in µs. */
-    Attempt send(String server, Order order, long wait, Listener listener);
+    /**
+     * Starts an attempt.
+     *
+     * @param wait how long its answer is waited for, in µs
+     * @param before by the node's clock, in µs: from then on it is not begun, and ends as NOT_SENT
+     */
+    Attempt send(String server, Order order, long wait, long before, Listener listener);
 
     /** Whether an attempt that starts now finds a connection that stands; true where that is not known. */
     default boolean connected(String server) {
--- a/src/main/java/junctionhead/core/Dispatcher.java
+++ b/src/main/java/junctionhead/core/Dispatcher.java
@@ -87,6 +87,7 @@
     private long guarded;
     private long faults;
     private int owed;
+    private long lastAnswerAt = Long.MAX_VALUE;     // once it is to end
     private Runnable whenIdle;
 
     /** {@code clock} is read on the loop's thread; {@code log} must not block. */
@@ -181,8 +182,7 @@
         String id = Long.toString(++taken, Character.MAX_RADIX);
         Upload upload = asked.rest() == null ? null : new Upload(asked.rest());
         Order order = upload == null ? asked : asked.passing(upload, asked.length());
-        Exchange x = new Exchange(id, order, reply, now() + order.timeLeft() - standstill.unread(now()),
-            boot.settings().limits().maxAttempts());
+        Exchange x = new Exchange(id, order, reply, deadline(order), boot.settings().limits().maxAttempts());
         table.put(id, x);
         ids.add(order.id());
         owed++;
@@ -203,6 +203,20 @@
         return () -> gone(x);
     }
 
+    private long deadline(Order order) {
+        return Math.min(now() + order.timeLeft() - standstill.unread(now()), lastAnswerAt);
+    }
+
+    /**
+     * It has been told to end. What is taken from here on is answered before the process may be killed: that
+     * is no sooner than the longest deadline and {@code more} µs from now, whoever asks when.
+     */
+    public void ending(long more) {
+        long longest = boot.settings().classes().stream().mapToLong(Policy.RequestClass::deadline).max()
+            .getAsLong();
+        lastAnswerAt = Math.min(lastAnswerAt, now() + longest + more);
+    }
+
     /** From here on it is known at any time for how long the loop has not looked at its sockets. */
     public void beat() {
         due(Standstill.BEAT, late -> {
@@ -250,7 +264,7 @@
         stalled(x, false);
         if (!x.closed) {
             x.guard.cancel();
-            x.deadline = now() + x.order.timeLeft() - standstill.unread(now());
+            x.deadline = deadline(x.order);
             guard(x, x.deadline - now());
             for (Attempt a : x.attempts) {
                 if (!a.ended) {
@@ -319,6 +333,7 @@
             close(x);
             tally.gone();
             tellGone(x);
+            withdraw(x);
             forget(x);
         }
     }
@@ -359,6 +374,16 @@
         }
     }
 
+    // Nothing is sent on for a request that is over. The module gives up what the settings let it cancel;
+    // what still waits for its connection has not begun, and needs no leave.
+    private void withdraw(Exchange x) {
+        for (Attempt a : List.copyOf(x.attempts)) {
+            if (!a.ended && a.carried != null && a.carried.withdraw()) {
+                ended(a, Policy.Outcome.NOT_SENT, null, null);
+            }
+        }
+    }
+
     private void forget(Exchange x) {
         if (x.closed && x.out == 0) {
             if (table.remove(x.id) != null) {
@@ -387,6 +412,9 @@
             answer.rest().drop();                   // nobody waits for it any more
         }
         hand(now -> policy.outcome(now, x.id, a.number, outcome, latency, x.closed, load, this));
+        if (x.closed) {
+            withdraw(x);
+        }
         forget(x);
     }
 
@@ -417,8 +445,13 @@
 
     /** News of the list of upstreams; null: the call or the watch has failed. */
     public void listed(Policy.ListKind kind, Targets targets) {
+        listed(kind, targets, 0);
+    }
+
+    /** The same, which may have counted as told for {@code toldFor} µs before it came. */
+    public void listed(Policy.ListKind kind, Targets targets, long toldFor) {
         if (targets != null) {
-            carrier.listed(targets, now() - standstill.unread(now()));  // it was told as long ago
+            carrier.listed(targets, now() - standstill.unread(now()) - toldFor);
         }
         hand(news, now -> policy.servers(now, kind, targets == null ? List.of() : targets.servers(), this));
     }
@@ -452,6 +485,11 @@
 
     @Override
     public void send(String request, String server, long timeout) {
+        send(request, server, timeout, Long.MAX_VALUE);
+    }
+
+    @Override
+    public void send(String request, String server, long timeout, long within) {
         Exchange x = table.get(request);
         if (x == null) {
             return;
@@ -463,13 +501,16 @@
         long left = (x.arriving ? x.order.timeLeft() : x.deadline - now) - GUARD - LAST_WORD;
         long wait = timeout == 0 ? left : Math.min(timeout, left);
         boolean allowed = !x.closed && wait > 0 && a.number < x.most
-            && (x.order.rest() == null || !x.order.rest().started());
+            && within > 0 && (x.order.rest() == null || !x.order.rest().started());
         if (allowed) {
             a.wait = wait;
+            // Once nobody waits for it any more it is not begun; a long body's time begins when it is there.
+            long until = x.arriving ? within : Math.min(within, wait);
+            long before = until < Long.MAX_VALUE - now ? now + until : Long.MAX_VALUE;
             if (!x.arriving) {
                 a.timer = loop.after(wait, () -> giveUp(a, Policy.Outcome.TIMEOUT));
             }
-            a.carried = carrier.send(server, x.order, wait,
+            a.carried = carrier.send(server, x.order, wait, before,
                 (outcome, answer, load) -> ended(a, outcome, answer, load));
         } else {
             ended(a, Policy.Outcome.NOT_SENT, null, null);
@@ -488,6 +529,7 @@
             close(x);
             tally.refused();
             x.reply.refuse(retryAfter);
+            withdraw(x);
             forget(x);
         }
     }
@@ -499,6 +541,7 @@
             close(x);
             tally.failed();
             x.reply.fail();
+            withdraw(x);
             forget(x);
         }
     }
--- a/src/main/java/junctionhead/front/http1/Client.java
+++ b/src/main/java/junctionhead/front/http1/Client.java
@@ -41,6 +41,7 @@
     private static final long STALLED = TimeUnit.MILLISECONDS.toNanos(15_000); // a long body's progress
     private static final int LINGER_BYTES = 64 * 1024;
     private static final int AHEAD_MOST = 16;       // requests that may be sent ahead
+    private static final int KEPT_MOST = 64 * 1024; // bytes that are kept behind them
 
     private record Taken(HttpRequest head, byte[] body, Stream rest, long length) { }
 
@@ -48,6 +49,8 @@
     private final Channel channel;
     private final Intake intake;
     private final RequestDecoder decoder = new RequestDecoder();
+    private final Gate gate = new Gate(KEPT_MOST, () ->
+        bad(HttpResponseStatus.BAD_REQUEST, "too many requests sent ahead"));
     private final ArrayDeque<Taken> ahead = new ArrayDeque<>();
     private RequestRules.Problem problem;           // the last answer to give, when its turn comes
     private Runnable gone;                          // set while the module owes an answer here
@@ -70,7 +73,7 @@
         this.channel = channel;
         this.intake = new Intake(this, server.room());
         this.lease = server.leaseFor(this, channel);
-        channel.pipeline().addLast(new Mark(), decoder, new HttpResponseEncoder(), intake, this);
+        channel.pipeline().addLast(new Mark(), gate, decoder, new HttpResponseEncoder(), intake, this);
     }
 
     Lease lease() {
@@ -97,7 +100,8 @@
 
     /** Ends what takes too long. Guards against peers that say nothing, or a byte now and then. */
     void look(long now) {
-        if (!ending && receiving && channel.config().isAutoRead() && now - since > (headed ? BODY : HEAD)) {
+        boolean read = !gate.isShut() && channel.config().isAutoRead();
+        if (!ending && receiving && read && now - since > (headed ? BODY : HEAD)) {
             bad(HttpResponseStatus.REQUEST_TIMEOUT, "too slow");
         }
         if (intake.flows() || outflow != null) {
@@ -137,6 +141,7 @@
             left.run();
         }
         intake.drop();
+        gate.drop();
         if (outflow != null) {
             outflow.rest.drop();
             outflow = null;
@@ -189,8 +194,9 @@
             bad(HttpResponseStatus.BAD_REQUEST, "too many requests sent ahead");
         } else if (serving || !channel.isWritable()) {
             ahead.add(taken);
-            // Whoever sends that many ahead is not read until answers have left.
-            channel.config().setAutoRead(ahead.size() < AHEAD_MOST);
+            if (ahead.size() >= AHEAD_MOST) {
+                gate.shut();                        // what follows waits until answers have left
+            }
         } else {
             serve(taken);
         }
@@ -244,6 +250,7 @@
     // Guards against hundreds of requests sent at once behind a bad one: they are not even looked at.
     private void readNoMore(HttpResponseStatus status, String why) {
         intake.drop();
+        gate.drop();
         problem = new RequestRules.Problem(status, why);
         channel.pipeline().replace(decoder, null, new Drain());
     }
@@ -309,6 +316,7 @@
             // In this state already while it is written: what had been read behind it is not looked at.
             problem = new RequestRules.Problem(status, "over");
             intake.drop();
+            gate.drop();
             channel.pipeline().replace(decoder, null, new Drain());
         }
         end(channel.writeAndFlush(response), stay, more);
@@ -387,6 +395,7 @@
             if (!stay && problem == null) {
                 problem = new RequestRules.Problem(HttpResponseStatus.OK, "over");
                 intake.drop();
+                gate.drop();
                 channel.pipeline().replace(decoder, null, new Drain());
             }
             end(sink.end(), stay, more);
@@ -418,8 +427,11 @@
                 } else if (problem != null) {
                     plain(problem.status(), problem.text(), false);
                 }
-                if (!channel.config().isAutoRead() && !intake.flows()) {
+                if (gate.isShut() && ahead.isEmpty()) {     // one read may bring as many again
                     since = System.nanoTime();      // what had begun to come in was kept waiting here
+                    gate.open();
+                }
+                if (!channel.config().isAutoRead() && !intake.flows()) {
                     channel.config().setAutoRead(true);
                 }
             });
--- a/src/main/java/junctionhead/loop/SocketsFirst.java
+++ b/src/main/java/junctionhead/loop/SocketsFirst.java
@@ -14,6 +14,8 @@
 public final class SocketsFirst {
     /** From so much on a timer is late, in ns: no turn of a loop that keeps up takes that long. */
     static final long LATE = 5_000_000;
+    // Passes that a timer waits for at most: a loop that is always late still comes to its timers.
+    private static final int PASSES = 3;
 
     private SocketsFirst() { }
 
@@ -21,7 +23,8 @@
     public static final class Handle {
         private final EventLoop loop;
         private final Runnable task;
-        private final long due;
+        private long due;
+        private int passes;
         private volatile Future<?> future;
         private volatile boolean cancelled;
 
@@ -37,15 +40,12 @@
             if (cancelled) {
                 return;
             }
-            if (System.nanoTime() - due > LATE) {
-                future = loop.schedule(this::run, 0, TimeUnit.NANOSECONDS);
+            // Again where it stood still between that pass and here.
+            long now = System.nanoTime();
+            if (now - due > LATE && passes++ < PASSES) {
+                due = now;
+                future = loop.schedule(this::due, 0, TimeUnit.NANOSECONDS);
             } else {
-                run();
-            }
-        }
-
-        private void run() {
-            if (!cancelled) {
                 task.run();
             }
         }
--- a/src/main/java/junctionhead/membership/Discovery.java
+++ b/src/main/java/junctionhead/membership/Discovery.java
@@ -10,7 +10,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.MessageToMessageDecoder;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -27,7 +27,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import junctionhead.Policy;
 import junctionhead.Policy.ListKind;
@@ -44,33 +43,41 @@
 public final class Discovery implements Membership {
     private static final int LINE_MOST = 4 << 20;
     private static final int CONNECT_MS = 2_000;
-    private static final long SILENCE_MS = 7_000;   // of a call that has brought nothing yet
-    // A watch holds a line every 2 s. What changed counts as told after 6 s, heard of or not: with 7 s here,
-    // a drain right after a cut was learned too late to keep its grace.
-    private static final long MISSING_MS = 5_000;
-    private static final long AGAIN_MS = 500;       // after a failure, where lists are pushed
+    private static final int UNANSWERED_MOST = 3;   // watches at once, where the next is begun beside
+
+    /** Whom it tells. */
+    public interface News {
+        /**
+         * A list or a change; FAILED and null where a call or the watch has failed.
+         *
+         * @param toldFor µs for which it may have counted as told
+         */
+        void list(ListKind kind, Targets targets, long toldFor);
+    }
 
     private final EventLoop loop;
     private final Set<Call> calls = new LinkedHashSet<>();      // under way
     private InetSocketAddress address;
     private final SettingsReader.Boot boot;
-    private final BiConsumer<ListKind, Targets> news;
+    private final News news;
     private final Consumer<String> log;
     private final boolean pushed;
-    private long rev;
-    private Call watch;
+    private final Versions versions;
+    private final Silence silence;
+    private Call watch;                             // the newest
     private boolean wanted;                         // a watch, whether one is open or not
 
-    /** {@code news} gets each list and change; FAILED and null where a call or the watch has failed. */
+    /** {@code rev}: the version of the list that is in use. */
     public Discovery(EventLoop loop, InetSocketAddress address, SettingsReader.Boot boot, long rev,
-            BiConsumer<ListKind, Targets> news, Consumer<String> log) {
+            News news, Consumer<String> log) {
         this.loop = loop;
         this.address = address;
         this.boot = boot;
-        this.rev = rev;
+        this.versions = new Versions(rev);
         this.news = news;
         this.log = log;
         this.pushed = boot.settings().discovery() == Policy.Discovery.PUSH;
+        this.silence = new Silence(pushed);
     }
 
     /** Begins to watch unasked where lists are pushed. */
@@ -83,16 +90,30 @@
     @Override
     public void watch(boolean on) {
         wanted = on;
-        Call earlier = watch;
-        watch = on ? new Call("/api/targets?watch=1&from=" + rev, true) : null;
-        if (earlier != null) {
-            earlier.drop();
-        }
+        List<Call> earlier = watches();
+        watch = on ? new Call("/api/targets?watch=1&from=" + versions.inUse(), true) : null;
+        earlier.forEach(Call::drop);
         if (on) {
             watch.open();
         }
     }
 
+    private List<Call> watches() {
+        return calls.stream().filter(c -> c.watching).toList();
+    }
+
+    // Beside those that have not answered: one of them may, and so may be the first to be heard again.
+    private void watchBeside() {
+        List<Call> waiting = watches();
+        waiting.stream().limit(Math.max(0, waiting.size() - UNANSWERED_MOST + 1)).forEach(Call::drop);
+        watch = new Call("/api/targets?watch=1&from=" + versions.inUse(), true);
+        watch.open();
+    }
+
+    private static long millis() {
+        return System.nanoTime() / 1_000_000;
+    }
+
     @Override
     public void fetch() {
         new Call("/api/targets", false).open();
@@ -108,7 +129,7 @@
             return;
         }
         address = other;
-        rev = 0;
+        versions.forget();
         for (Call call : List.copyOf(calls)) {
             call.drop();
             if (!call.watching) {
@@ -125,7 +146,10 @@
         private final String uri;
         private final boolean watching;
         private Channel channel;
-        private SocketsFirst.Handle silence;
+        private final long asked = versions.inUse();
+        private final long begun = millis();
+        private long heardAt = begun;
+        private SocketsFirst.Handle patience;
         private boolean answered;                   // the module has had what its call was for
         private boolean over;
 
@@ -143,12 +167,12 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new HttpClientCodec(), new Bodies(Call.this),
-                            new LineBasedFrameDecoder(LINE_MOST), Call.this);
+                        ch.pipeline().addLast(new HttpClientCodec(), new Bodies(),
+                            new Lists(LINE_MOST), Call.this);
                     }
                 }).connect(address);
             channel = connected.channel();
-            channel.closeFuture().addListener(closed -> ended());
+            channel.closeFuture().addListener(closed -> ended(false));
             connected.addListener(done -> {
                 if (done.isSuccess()) {
                     DefaultFullHttpRequest ask =
@@ -157,7 +181,7 @@
                         Addresses.text(address));
                     channel.writeAndFlush(ask);
                 } else {
-                    ended();
+                    ended(false);
                 }
             });
         }
@@ -169,18 +193,32 @@
             if (watch == this) {
                 watch = null;
             }
-            silence.cancel();
+            patience.cancel();
             channel.close();
         }
 
         // Guards against a discovery that is cut off: its connection stays open and silent.
         private void heard() {
-            if (silence != null) {
-                silence.cancel();
+            heardAt = millis();
+            if (patience != null) {
+                patience.cancel();
             }
             // What was said while this process stood still lies in the socket: it is read first.
-            silence = SocketsFirst.after(loop, answered && watching ? MISSING_MS : SILENCE_MS,
-                TimeUnit.MILLISECONDS, this::ended);
+            patience = SocketsFirst.after(loop, silence.most(answered), TimeUnit.MILLISECONDS, this::silent);
+        }
+
+        private void silent() {
+            if (over) {
+                return;
+            }
+            if (watching && !answered && silence.patient(millis() - begun)) {
+                patience = SocketsFirst.after(loop, silence.most(false), TimeUnit.MILLISECONDS, this::silent);
+                if (watch == this) {
+                    watchBeside();
+                }
+            } else {
+                ended(true);
+            }
         }
 
         @Override
@@ -195,21 +233,38 @@
                 if (answered || !watching) {
                     return;                         // nothing has changed
                 }
-                targets = new Targets(rev, false, List.of());
+                targets = new Targets(versions.inUse(), false, List.of());
             } else {
                 try {
                     targets = TargetsReader.parse(text, boot);
                 } catch (IllegalArgumentException e) {
                     // A change may be lost with it: the next watch, from the last good version, brings it.
                     log.accept("discovery sent a list that can't be read: " + e.getMessage());
-                    ended();
+                    ended(false);
                     return;
                 }
             }
-            rev = targets.rev();
+            Versions.Verdict verdict = versions.judge(targets.rev(), targets.all(), asked, !answered);
+            if (verdict == Versions.Verdict.CONFUSED) {
+                log.accept("discovery went back from version " + versions.inUse() + " to " + targets.rev()
+                    + ": asking for the whole list");
+                versions.forget();
+                watch(true);
+                return;
+            }
+            boolean first = !answered;
             answered = true;
             heard();
-            news.accept(targets.all() ? ListKind.COMPLETE : ListKind.PARTIAL, targets);
+            long toldFor = 0;
+            if (watching && first) {
+                watch = this;
+                watches().stream().filter(c -> c != this).forEach(Call::drop);
+                toldFor = silence.toldFor(heardAt) * 1000;
+            }
+            if (verdict == Versions.Verdict.OLD) {  // the call has done what it was for; nothing is undone
+                targets = new Targets(versions.inUse(), false, List.of());
+            }
+            news.list(targets.all() ? ListKind.COMPLETE : ListKind.PARTIAL, targets, toldFor);
             if (!watching) {
                 drop();
             }
@@ -217,34 +272,46 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (cause instanceof DecoderException) {
+                log.accept("discovery sent what is no list: " + cause.getMessage());
+            }
             channel.close();
         }
 
-        private void ended() {
+        private void ended(boolean silent) {
             if (over) {
                 return;
             }
+            boolean last = watch == this;
             drop();
-            if (!pushed) {
-                news.accept(ListKind.FAILED, null);
-            } else if (watching) {
-                loop.schedule(() -> {
-                    if (watch == null) {
-                        watch(true);
-                    }
-                }, AGAIN_MS, TimeUnit.MILLISECONDS);
+            if (!last && watching) {
+                return;                             // another one is under way in its place
+            }
+            if (watching && answered) {
+                silence.broke(millis(), heardAt, silent);
+            }
+            if (watching && (pushed || answered && silent)) {
+                // A silent one is no failure of the call, and there is a list to catch up with.
+                long pause = silence.pause(millis(), answered);
+                if (pause == 0) {
+                    again();
+                } else {
+                    loop.schedule(this::again, pause, TimeUnit.MILLISECONDS);
+                }
+            } else if (!pushed) {
+                news.list(ListKind.FAILED, null, 0);
             }
         }
-    }
-
-    /** Passes the body of a 200 answer on, and ends the call for any other. */
-    private static final class Bodies extends MessageToMessageDecoder<HttpObject> {
-        private final Call call;
 
-        Bodies(Call call) {
-            this.call = call;
+        private void again() {
+            if (watch == null && wanted) {
+                watch(true);
+            }
         }
+    }
 
+    /** Passes the body of a 200 answer on, and ends the call with it, or at once for any other. */
+    private static final class Bodies extends MessageToMessageDecoder<HttpObject> {
         @Override
         protected void decode(ChannelHandlerContext context, HttpObject part, List<Object> out) {
             if (part instanceof HttpResponse answer
@@ -257,11 +324,8 @@
                     out.add(content.content().retain());
                 }
                 if (part instanceof LastHttpContent) {
-                    if (!call.watching) {           // the list may end without a line end
-                        out.add(context.alloc().buffer(1).writeByte('\n'));
-                    } else {
-                        context.close();
-                    }
+                    // Later: what it brought is still to be read. A list that is not whole by then is none.
+                    context.channel().eventLoop().execute(context::close);
                 }
             }
         }
--- a/src/main/java/junctionhead/node/Node.java
+++ b/src/main/java/junctionhead/node/Node.java
@@ -45,9 +45,11 @@
     private static final long LINGER_MS = TimeUnit.NANOSECONDS.toMillis(LifeCycle.LINGER);
     private static final long FOLLOW_MS = 50;       // between looks at what the life cycle says
     private static final long FORMER_MS = 10_000;   // for which classes that were dropped are served
+    // The platform kills a process no sooner than 0.7 s and the longest deadline after it has told it to end.
+    private static final long LAST_ANSWERS = 600_000;
     private static final long CALL_MS = 5;          // between looks at whether it may end
     private static final long FLUSH_MS = 20;        // for the last answers to arrive
-    private static final long LAST_LINES_MS = 500;  // for the last lines, if somebody reads them
+    static final long LAST_LINES_MS = 500;  // for the last lines, if somebody reads them
 
     private final Consumer<String> log;
     private final EventLoopGroup group = new WholeMillis();
@@ -119,31 +121,22 @@
     /** The same with what stands beside HTTP/1.1; {@code extension} may be null. */
     public static int serve(Supplier<Config> first, Supplier<Config> again, Extension extension) {
         LineSink log = new LineSink(System.err, "junctionhead: ");
+        // Before anything else: until then a signal ends the process as if there was nothing to be done.
+        Signals signals = new Signals(log, again);
+        if (!signals.listen()) {
+            log.accept("no SIGHUP here: a new configuration needs a restart");
+        }
         Node node;
         InetSocketAddress at;
         try {
             node = new Node(first.get(), Balance::new, true, extension, log);
-        } catch (Config.Bad e) {
-            log.accept(e.getMessage());
-            log.close(LAST_LINES_MS);
-            return 1;
-        }
-        try {
-            at = node.start();
+            at = signals.starting(node);
         } catch (Exception e) {     // sync() rethrows what bind failed with, whatever its type
+            signals.failed();
             log.accept(e.getMessage());
             log.close(LAST_LINES_MS);
             return 1;
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            node.stop();
-            log.close(LAST_LINES_MS);
-            // Without this the exit code would tell of the signal, not of the orderly end.
-            Runtime.getRuntime().halt(0);
-        }));
-        if (!Hangup.onEach(() -> node.reload(again))) {
-            log.accept("no SIGHUP here: a new configuration needs a restart");
-        }
         // Said only now: whoever reads it may send the signals at once.
         log.accept("listening on " + Addresses.text(at));
         node.await();
@@ -375,7 +368,11 @@
 
     // Ready once an upstream may be sent to: what was known from before will do until discovery answers.
     private void listed(Policy.ListKind kind, Targets targets) {
-        dispatcher.listed(kind, targets);
+        listed(kind, targets, 0);
+    }
+
+    private void listed(Policy.ListKind kind, Targets targets, long toldFor) {
+        dispatcher.listed(kind, targets, toldFor);
         boolean usable = kind == Policy.ListKind.COMPLETE || targets != null
             && targets.list().stream().anyMatch(t -> t.server().state() == Policy.State.UP);
         if (usable) {
@@ -454,6 +451,7 @@
     void stop() {
         loop.execute(() -> {
             life.stop(System.nanoTime());
+            dispatcher.ending(LAST_ANSWERS);
             if (extra != null) {
                 extra.stopping();
             }
--- a/src/main/java/junctionhead/node/Rehearsal.java
+++ b/src/main/java/junctionhead/node/Rehearsal.java
@@ -14,6 +14,7 @@
 import junctionhead.SettingsReader;
 import junctionhead.config.Config;
 import junctionhead.connections.Budget;
+import junctionhead.connections.IdleRest;
 import junctionhead.core.Clock;
 import junctionhead.core.Dispatcher;
 import junctionhead.core.Drill;
@@ -64,8 +65,9 @@
         Policy policy = new Balance(boot.settings(), config.seed());
         dispatcher = new Dispatcher(new NettyLoop(loop), Clock.system(), boot, policy, line -> { });
         Budget budget = new Budget(config.connections(), System.nanoTime());
-        back = new Upstreams(loop, boot, budget, dispatcher::now, Runnable::run, through);
-        front = new Upstreams(loop, boot, budget, dispatcher::now, Runnable::run, through);
+        IdleRest rest = IdleRest.trusting(boot.idleClose());
+        back = new Upstreams(loop, boot, budget, dispatcher::now, Runnable::run, through, rest);
+        front = new Upstreams(loop, boot, budget, dispatcher::now, Runnable::run, through, rest);
         dispatcher.attach(back, Membership.NONE);
     }
 
@@ -116,7 +118,7 @@
         byte[] body = new byte[effect == Policy.Effect.SAFE ? 0 : 200];
         Order order = new Order("rehearsal-" + begun, method, PATH, new Http1Fields(headers), body, number,
             0, null, WAIT, -1, false);
-        front.send("rehearsal-0", order, WAIT, (outcome, answer, load) -> {
+        front.send("rehearsal-0", order, WAIT, Long.MAX_VALUE, (outcome, answer, load) -> {
             ended++;
             if (ended >= REQUESTS) {
                 end();
--- /dev/null
+++ b/src/main/java/junctionhead/node/Signals.java
@@ -0,0 +1,71 @@
+package junctionhead.node;
+
+import java.net.InetSocketAddress;
+import java.util.function.Supplier;
+import junctionhead.config.Config;
+import junctionhead.log.LineSink;
+
+/**
+ * What SIGTERM and SIGHUP do, whenever they come: taken from the first moment on, and carried out once there
+ * is something to carry them out on. Guards against a process that is ended by a new configuration which
+ * reached it within its start, and against one that ends between its first connection and its last word.
+ * Signals come on threads of their own.
+ */
+final class Signals {
+    private final LineSink log;
+    private final Supplier<Config> again;
+    private Node node;                              // once it listens; under this lock, like the rest
+    private boolean failed;
+    private boolean hangup;                         // came before
+
+    Signals(LineSink log, Supplier<Config> again) {
+        this.log = log;
+        this.again = again;
+    }
+
+    /** Takes them from here on; false where the platform has no SIGHUP. */
+    boolean listen() {
+        Runtime.getRuntime().addShutdownHook(new Thread(this::end));
+        return Hangup.onEach(this::reload);
+    }
+
+    /** Starts {@code fresh}, whole or not at all before a signal is carried out; returns its address. */
+    synchronized InetSocketAddress starting(Node fresh) throws Exception {
+        InetSocketAddress at = fresh.start();
+        node = fresh;
+        if (hangup) {
+            node.reload(again);                     // it may have read the file before it was replaced
+        }
+        return at;
+    }
+
+    /** There will be none. */
+    synchronized void failed() {
+        failed = true;
+    }
+
+    private synchronized void reload() {
+        hangup = true;
+        if (node != null) {
+            node.reload(again);
+        }
+    }
+
+    private void end() {
+        Node ending;
+        synchronized (this) {
+            if (failed) {
+                return;                             // with an exit code of its own
+            }
+            ending = node;
+        }
+        if (ending == null) {
+            log.accept("stopped before it listened");
+        } else {
+            ending.stop();
+        }
+        log.close(Node.LAST_LINES_MS);
+        // Without this the exit code would tell of the signal, not of the orderly end.
+        Runtime.getRuntime().halt(0);
+    }
+}
--- a/src/main/java/junctionhead/node/http3/Rehearsal3.java
+++ b/src/main/java/junctionhead/node/http3/Rehearsal3.java
@@ -66,7 +66,7 @@
         out++;
         Order order = new Order("rehearsal", "GET", "/-/ready", Fields.NONE, new byte[0], -1, 0, null, WAIT,
             -1, false);
-        carrier.send(SELF, order, WAIT, (outcome, answer, load) -> {
+        carrier.send(SELF, order, WAIT, Long.MAX_VALUE, (outcome, answer, load) -> {
             out--;
             if (answer == null) {
                 end();                              // no way to itself: clients come cold
--- a/src/main/java/junctionhead/upstream/Upstreams.java
+++ b/src/main/java/junctionhead/upstream/Upstreams.java
@@ -27,6 +27,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Future;
@@ -84,19 +85,22 @@
     /** {@code afterNews} runs what it is given once no news of the list lies unread, on the loop. */
     public Upstreams(EventLoop loop, SettingsReader.Boot boot, Budget budget, Clock clock,
             Consumer<Runnable> afterNews) {
-        this(loop, boot, budget, clock, afterNews, null);
+        this(loop, boot, budget, clock, afterNews, null, new IdleRest(boot.idleClose()));
     }
 
-    /** The same where all upstreams stand at one socket of the file system; null: each at its own address. */
+    /**
+     * The same where all upstreams stand at one socket of the file system; null: each at its own address.
+     * {@code rest}: how their idle connections rest, until other settings hold.
+     */
     public Upstreams(EventLoop loop, SettingsReader.Boot boot, Budget budget, Clock clock,
-            Consumer<Runnable> afterNews, SocketAddress all) {
+            Consumer<Runnable> afterNews, SocketAddress all, IdleRest rest) {
         this.afterNews = afterNews;
         this.all = all;
         this.loop = loop;
         this.boot = boot;
         this.budget = budget;
         this.clock = clock;
-        this.rest = new IdleRest(boot.idleClose());
+        this.rest = rest;
         this.bootstrap = new Bootstrap().group(loop)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis())
             .option(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(64, 2_048, READ_MOST)
@@ -154,15 +158,25 @@
     // ---------------------------------------------------------------- attempts and probes
 
     @Override
-    public Attempt send(String server, Order order, long wait, Listener listener) {
-        return start(server, new Call(order, Math.max(1, wait / 1000), listener));
+    public Attempt send(String server, Order order, long wait, long before, Listener listener) {
+        return start(server, new Call(order, Math.max(1, wait / 1000), before, listener));
     }
 
-    // The idle one used last: those before it have rested for longer.
     @Override
     public boolean connected(String server) {
         Upstream u = upstreams.get(server);
-        return u != null && !u.idle.isEmpty() && u.idle.peekLast().usable();
+        return u != null && ready(u) != null;
+    }
+
+    // The one used last of those that have settled: those before it have rested for longer.
+    private Connection ready(Upstream u) {
+        for (Iterator<Connection> i = u.idle.descendingIterator(); i.hasNext();) {
+            Connection c = i.next();
+            if (c.settled()) {
+                return c.usable() ? c : null;
+            }
+        }
+        return null;
     }
 
     /** Gives up after the time that a connection may take. */
@@ -170,7 +184,7 @@
     public void probe(String server, boolean report, Listener listener) {
         Order order = new Order("", "GET", report ? "/-/load" : "/-/healthy",
             Fields.NONE, new byte[0], -1, 0, null, 0, -1, false);
-        Call call = new Call(order, 0, listener);
+        Call call = new Call(order, 0, Long.MAX_VALUE, listener);
         call.timer = loop.schedule(() -> {
             boolean asked = call.giveUp() == Fate.MAY_HAVE_RUN;
             listener.ended(asked ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED, null, null);
@@ -184,13 +198,12 @@
             call.end(Outcome.NOT_SENT, null, null);
             return call;
         }
-        Connection ready = u.idle.pollLast();
-        while (ready != null && !ready.usable()) {
-            ready.close();
-            ready = u.idle.pollLast();
-        }
+        Connection ready = ready(u);
         if (ready != null) {
-            ready.write(call);
+            u.idle.remove(ready);
+            ready.call = call;
+            call.connection = ready;
+            afterNews.accept(ready::go);            // it may have stood still since the module decided
         } else {
             dial(u, call);
         }
@@ -220,7 +233,7 @@
                 connection.finish(Outcome.CONNECT_FAILED, null, null);
                 connection.channel.close();
             } else {
-                afterNews.accept(connection::up);
+                afterNews.accept(connection::go);
             }
         });
     }
@@ -268,12 +281,14 @@
     private static final class Call implements Attempt {
         private final Order order;
         private final long waitMillis;              // 0: not told to the upstream
+        private final long before;                  // µs: from then on it is not begun
         private final Listener listener;
         private Connection connection;
         private Future<?> timer;
         private boolean ended;
 
-        private Call(Order order, long waitMillis, Listener listener) {
+        private Call(Order order, long waitMillis, long before, Listener listener) {
+            this.before = before;
             this.order = order;
             this.waitMillis = waitMillis;
             this.listener = listener;
@@ -299,6 +314,15 @@
             return mayHaveRun ? Fate.MAY_HAVE_RUN : Fate.NEVER_RAN;
         }
 
+        @Override
+        public boolean withdraw() {
+            if (ended || connection.begun) {
+                return false;
+            }
+            giveUp();
+            return true;
+        }
+
         private void end(Outcome outcome, Answer answer, Policy.Load load) {
             if (timer != null) {
                 timer.cancel(false);
@@ -350,19 +374,27 @@
             this.lease = budget.upstream(this::close, System.nanoTime());
         }
 
+        boolean settled() {
+            return rest.settled(clock.now() - idleSince);
+        }
+
         boolean usable() {
             return channel.isActive() && rest.usable(clock.now() - idleSince);
         }
 
-        // Its handshake is over.
-        void up() {
+        // It stands, and news of the list has been read.
+        void go() {
             if (!channel.isActive()) {
                 return;                     // it has ended meanwhile, and closed() has told so
             }
             if (call == null) {
                 rest();                     // its attempt was given up meanwhile: the handshake is paid for
-            } else if (clock.now() >= upstream.stopAt) {
+            } else if (clock.now() >= call.before) {
+                finish(Outcome.NOT_SENT, null, null);       // it may not run any more, or nobody waits
+                rest();
+            } else if (clock.now() >= upstream.stopAt || !endpoint.equals(upstream.endpoint)) {
                 // Rule 3: the list changed while this one waited for its connection. Another may take it.
+                // And whoever listens at an address that its upstream has left is not that upstream.
                 finish(Outcome.CONNECT_FAILED, null, null);
                 close();
             } else {
@@ -441,6 +473,10 @@
 
         @Override
         public void began(Answer answer) {
+            if (isForged(answer)) {
+                close();
+                return;
+            }
             Call answered = call;
             call = null;
             answered.end(answer.outcome(), answer, LoadReport.parse(answer.fields().get("Srv-Load")));
@@ -481,8 +517,18 @@
             channel.close();
         }
 
+        // An upstream begins with a request when its last byte has come: what says before that it has served
+        // it was made for another. closed() tells that this one never ran.
+        private boolean isForged(Answer answer) {
+            return !written && answer.outcome() == Outcome.OK;
+        }
+
         @Override
         public void answered(Answer answer, boolean usable) {
+            if (call != null && isForged(answer)) {
+                close();
+                return;
+            }
             Call answered = call;
             call = null;
             // Back among the idle before the module hears of it: its next send may want this one.
--- a/src/main/java/junctionhead/upstream/http3/Call.java
+++ b/src/main/java/junctionhead/upstream/http3/Call.java
@@ -40,6 +40,7 @@
     private final Box box;
     private final Order order;
     private final long waitMillis;                  // 0: not told to the upstream
+    private final long before;                      // µs: from then on it is not begun
     private final Carrier.Listener listener;
     private final MessageState state = new MessageState(Order.BODY_MOST);
     private Channel3 connection;
@@ -51,7 +52,9 @@
     private int status;
     private final Gathered body = new Gathered();
 
-    Call(Http3Upstreams owner, Box box, Order order, long waitMillis, Carrier.Listener listener) {
+    Call(Http3Upstreams owner, Box box, Order order, long waitMillis, long before,
+            Carrier.Listener listener) {
+        this.before = before;
         this.owner = owner;
         this.box = box;
         this.order = order;
@@ -85,6 +88,11 @@
             Codes.reset(on, ErrorCodes.REQUEST_CANCELLED);
             return;
         }
+        if (owner.clock.now() >= before) {
+            Codes.reset(on, ErrorCodes.REQUEST_CANCELLED);
+            end(Policy.Outcome.NOT_SENT, null, null);
+            return;
+        }
         stream = on;
         on.closeFuture().addListener(closed -> ended(How.CONNECTION_LOST, -1));
         Http3Headers out = Http3Fields.request(order, Addresses.text(box.endpoint()), waitMillis);
@@ -119,6 +127,15 @@
         return fate;
     }
 
+    @Override
+    public boolean withdraw() {
+        if (ended || stream != null) {
+            return false;
+        }
+        giveUp();
+        return true;
+    }
+
     private void over() {
         ended = true;
         if (timer != null) {
--- a/src/main/java/junctionhead/upstream/http3/Http3Upstreams.java
+++ b/src/main/java/junctionhead/upstream/http3/Http3Upstreams.java
@@ -161,16 +161,16 @@
     // ---------------------------------------------------------------- attempts and probes
 
     @Override
-    public Attempt send(String server, Order order, long wait, Listener listener) {
+    public Attempt send(String server, Order order, long wait, long before, Listener listener) {
         Box box = boxes.get(server);
         if (box == null || order.rest() != null && other != null) {     // uploads go over HTTP/1.1
-            return other.send(server, order, wait, listener);
+            return other.send(server, order, wait, before, listener);
         }
         BoxPlan.Choice choice = clock.now() >= box.stopAt() ? null : box.choose();
         if (choice != null && choice.way() == BoxPlan.Way.HTTP1 && other != null) {
-            return other.send(server, order, wait, listener);
+            return other.send(server, order, wait, before, listener);
         }
-        Call call = new Call(this, box, order, Math.max(1, wait / 1000), listener);
+        Call call = new Call(this, box, order, Math.max(1, wait / 1000), before, listener);
         if (choice == null || choice.way() == BoxPlan.Way.HTTP1 || order.rest() != null) {
             call.end(Outcome.NOT_SENT, null, null);
         } else {
@@ -199,7 +199,7 @@
         }
         Order order = new Order("", "GET", report ? "/-/load" : "/-/healthy", Fields.NONE, new byte[0], -1, 0,
             null, 0, -1, false);
-        Call call = new Call(this, box, order, 0, listener);
+        Call call = new Call(this, box, order, 0, Long.MAX_VALUE, listener);
         call.giveUpAfter(connectMicros());
         box.carry(choice, call);
     }
--- a/src/test/java/junctionhead/core/DispatcherTest.java
+++ b/src/test/java/junctionhead/core/DispatcherTest.java
@@ -18,10 +18,13 @@
     private static final class Started implements Carrier.Attempt {
         final Carrier.Listener listener;
         final long wait;
+        final long before;
+        boolean dialling;
         Carrier.Fate fate = Carrier.Fate.MAY_HAVE_RUN;
         boolean givenUp;
 
-        Started(Carrier.Listener listener, long wait) {
+        Started(Carrier.Listener listener, long wait, long before) {
+            this.before = before;
             this.listener = listener;
             this.wait = wait;
         }
@@ -31,6 +34,12 @@
             givenUp = true;
             return fate;
         }
+
+        @Override
+        public boolean withdraw() {
+            givenUp |= dialling;
+            return dialling;
+        }
     }
 
     private static final class FakeCarrier implements Carrier {
@@ -45,8 +54,8 @@
         }
 
         @Override
-        public Attempt send(String server, Order order, long wait, Listener listener) {
-            Started next = new Started(listener, wait);
+        public Attempt send(String server, Order order, long wait, long before, Listener listener) {
+            Started next = new Started(listener, wait, before);
             started.add(next);
             orders.add(order);
             if (atOnce) {
@@ -67,6 +76,9 @@
         final List<String> told = new ArrayList<>();
         final List<String> seen = new ArrayList<>();    // lists and requests
         boolean silent;
+        boolean mayNotCancel;
+        int copies = 1;
+        long within = Long.MAX_VALUE;
 
         @Override
         public void retune(long now, Settings settings, List<Integer> formerClasses,
@@ -81,7 +93,9 @@
         public void request(long now, String request, int requestClass, int tenant, String key, long timeLeft,
                 long work, boolean resubmission, Actions out) {
             seen.add("request");
-            out.send(request, "s", 50_000);
+            for (int i = 0; i < copies; i++) {
+                out.send(request, "s", 50_000, within);
+            }
         }
 
         @Override
@@ -99,7 +113,9 @@
         @Override
         public void clientGone(long now, String request, Actions out) {
             told.add("gone");
-            out.cancel(request, 0);
+            if (!mayNotCancel) {
+                out.cancel(request, 0);
+            }
         }
 
         @Override
@@ -228,6 +244,61 @@
         assertEquals(1, dispatcher.tally().failures());
     }
 
+    @Test
+    void whatHasNotBegunIsTakenBackWithItsClientAndWhatHasIsLeftToTheModule() {
+        policy.mayNotCancel = true;
+        policy.copies = 2;
+        Runnable left = take();
+        carrier.started.get(0).dialling = true;
+        left.run();
+        assertTrue(carrier.started.get(0).givenUp, "nothing is sent on for a client that has left");
+        assertFalse(carrier.started.get(1).givenUp, "it may be at work, and cancelling is not allowed");
+        assertEquals(List.of("gone", "NOT_SENT closed"), policy.told);
+        assertTrue(dispatcher.holds("r1"), "an attempt of it is out");
+        carrier.started.get(1).listener.ended(Outcome.OK, ok(), null);
+        assertEquals(List.of("gone", "NOT_SENT closed", "OK closed"), policy.told);
+        assertFalse(dispatcher.holds("r1"));
+        assertEquals(List.of(), answers.given);
+    }
+
+    @Test
+    void aCopyThatStillDialsIsTakenBackWithTheAnswerOfTheOther() {
+        policy.mayNotCancel = true;
+        policy.copies = 2;
+        take();
+        carrier.started.get(1).dialling = true;
+        carrier.started.get(0).listener.ended(Outcome.OK, ok(), null);
+        assertTrue(carrier.started.get(1).givenUp, "nothing is sent on after the final answer");
+        assertEquals(List.of("OK closed", "NOT_SENT closed"), policy.told);
+        assertEquals(List.of("served"), answers.given);
+        assertFalse(dispatcher.holds("r1"));
+    }
+
+    @Test
+    void anAttemptIsBegunOnlyWhileItMayRunAndIsWaitedFor() {
+        policy.within = 30_000;
+        take();
+        assertEquals(loop.now() + 30_000, carrier.started.get(0).before);
+        policy.within = Long.MAX_VALUE;
+        take();
+        assertEquals(loop.now() + 50_000, carrier.started.get(1).before, "its time-out");
+        policy.within = 0;
+        take();
+        assertEquals(2, carrier.started.size(), "too late at once");
+        assertEquals(List.of("NOT_SENT"), policy.told);
+    }
+
+    @Test
+    void whatIsTakenBehindTheWordToEndIsAnsweredBeforeTheProcessMayBeKilled() {
+        dispatcher.ending(600_000);                 // the longest deadline is 100 ms
+        loop.pass(650_000);
+        takeFor(5_000_000);
+        assertEquals(50_000 - Dispatcher.GUARD - Dispatcher.LAST_WORD, carrier.started.get(0).wait);
+        policy.silent = true;
+        loop.pass(50_000 - Dispatcher.GUARD);
+        assertEquals(List.of("failed"), answers.given);
+    }
+
     /** A wake that should have come 40 ms ago: the loop has not looked at its sockets for so long. */
     @Test
     void whatMayHaveLainUnreadIsAnsweredSooner() {
--- a/src/test/java/junctionhead/core/StandstillTest.java
+++ b/src/test/java/junctionhead/core/StandstillTest.java
@@ -77,7 +77,7 @@
         public void listed(Targets targets, long now) { }
 
         @Override
-        public Attempt send(String server, Order order, long wait, Listener listener) {
+        public Attempt send(String server, Order order, long wait, long before, Listener listener) {
             boolean[] over = new boolean[1];
             long takes = 5_000 + random.nextLong(random.nextInt(6) == 0 ? 600_000 : 60_000);
             arrivals.add(new Arrival(loop.now() + takes, () -> {
@@ -86,9 +86,17 @@
                     listener.ended(Policy.Outcome.OK, new Answer(200, Fields.NONE, new byte[0]), null);
                 }
             }));
-            return () -> {
-                over[0] = true;
-                return Fate.MAY_HAVE_RUN;
+            return new Attempt() {
+                @Override
+                public Fate giveUp() {
+                    over[0] = true;
+                    return Fate.MAY_HAVE_RUN;
+                }
+
+                @Override
+                public boolean withdraw() {
+                    return false;                   // it has been written at once
+                }
             };
         }
 
--- /dev/null
+++ b/src/test/java/junctionhead/membership/SilenceTest.java
@@ -0,0 +1,55 @@
+package junctionhead.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** The platform's clock for silence: a line every 2 s, and 6 s until what is missed counts as told. */
+class SilenceTest {
+    @Test
+    void aSilentWatchIsBegunAnewWithTimeLeftToCatchUp() {
+        for (boolean pushed : new boolean[] {true, false}) {
+            Silence silence = new Silence(pushed);
+            assertTrue(silence.most(true) > 4_000, "one line may be late, and one be lost");
+            assertTrue(silence.most(true) <= 5_000, "the rest of the 6 s is for the call");
+            assertTrue(silence.most(false) <= 5_000, "one that accepts and says nothing is silent as well");
+            silence.broke(5_000, 500, true);
+            assertEquals(0, silence.pause(5_000, true), "at once");
+            assertEquals(0, silence.toldFor(6_400), "learned before it counts as told");
+            silence.broke(5_000, 500, true);
+            assertEquals(700, silence.toldFor(7_200), "it counted as told from 6.5 s on");
+            assertEquals(0, silence.toldFor(7_200), "said once");
+        }
+    }
+
+    @Test
+    void anAgentTellsWhetherAWatchIsOpenOrNot() {
+        Silence silence = new Silence(true);
+        silence.broke(1_000, 900, false);
+        silence.broke(1_400, 900, false);           // the next one as well: blind since the first
+        assertEquals(500, silence.toldFor(1_500));
+        Silence asked = new Silence(false);
+        asked.broke(1_000, 900, false);
+        assertEquals(0, asked.toldFor(1_500), "what is asked for counts as told with the answer");
+    }
+
+    @Test
+    void anAgentThatDoesNotAnswerIsAskedBesideAndNotWithoutEnd() {
+        Silence silence = new Silence(true);
+        assertTrue(silence.most(false) < 1_000, "what it has at its return counts at once");
+        assertTrue(silence.patient(700));
+        assertFalse(silence.patient(5_000));
+        assertFalse(new Silence(false).patient(0), "each call costs a discovery that is asked");
+    }
+
+    @Test
+    void watchesThatBreakAgainAndAgainAreNotBegunInATightLoop() {
+        Silence silence = new Silence(true);
+        assertEquals(0, silence.pause(10_000, true));
+        assertTrue(silence.pause(10_001, true) > 0);
+        assertTrue(silence.pause(10_600, false) > 0, "it never answered");
+        assertEquals(0, silence.pause(11_000, true));
+    }
+}
--- a/src/test/java/junctionhead/node/AnswerReaderTest.java
+++ b/src/test/java/junctionhead/node/AnswerReaderTest.java
@@ -124,6 +124,7 @@
                 + "Content-Length: 2\r\n\r\nok");
             assertEquals("OK closed", module.next());
             assertEquals(200, client.status());
+            awaitRested("s1");
             client.send(SAFE);
             upstream.next().answer(200, "Srv-Load: {\"\r\n", "ok");
             assertEquals("OK closed", module.next());
--- a/src/test/java/junctionhead/node/AnswersTest.java
+++ b/src/test/java/junctionhead/node/AnswersTest.java
@@ -30,6 +30,7 @@
             assertEquals(200, client.status());
             assertArrayEquals(big, client.body);
             assertEquals("OK 7.0 closed", module.next());
+            awaitRested("s1");
             client.send(post("pay", "Idempotency-Key: abc\r\nReq-Deadline-Ms: 20000\r\n", "hello"));
             got = upstream.next();
             assertEquals("abc", got.header("Idempotency-Key"));
--- /dev/null
+++ b/src/test/java/junctionhead/node/CrossingsTest.java
@@ -0,0 +1,234 @@
+package junctionhead.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What crosses on the way of a request, forced by peers that hold and order: see docs/crossings.md. */
+@Timeout(120)
+class CrossingsTest extends NodeFixture {
+    private static final String EMPTY = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+    private static String request(String kind, String id) {
+        return switch (kind) {
+            case "read" -> SAFE.replace("r1", id);
+            case "pay" -> post("pay", "Idempotency-Key: k\r\nReq-Deadline-Ms: 20000\r\n", "x")
+                .replace("r1", id);
+            default -> post("book", "Req-Deadline-Ms: 20000\r\n", "x").replace("r1", id);
+        };
+    }
+
+    private void startHeld(HeldListener held, boolean cancels) throws IOException, InterruptedException {
+        endpoint = held.address();
+        module.cancels = cancels;
+        start(Map.of("DialTimeout", 30_000_000, "Cancel", cancels), 1024);
+    }
+
+    /** Its connection comes up when nobody waits any more: the next request is the first to go over it. */
+    @ParameterizedTest
+    @CsvSource({"read,FIN,true", "read,FIN,false", "pay,FIN,false", "book,FIN,false", "book,FIN,true",
+        "book,RESET,false", "read,RESET,false", "book,HALF,false", "pay,HALF,true"})
+    void aRequestWhoseClientHasLeftIsNotSentOn(String kind, String way, boolean cancels)
+            throws IOException, InterruptedException {
+        try (HeldListener held = new HeldListener()) {
+            startHeld(held, cancels);
+            Client client = new Client(at).send(request(kind, "gone"));
+            assertTrue(module.requests.poll(20, TimeUnit.SECONDS).contains(" k1 "));
+            if (way.equals("RESET")) {
+                client.socket.setSoLinger(true, 0);
+            } else if (way.equals("HALF")) {
+                client.send(request(kind, "half").substring(0, 40));
+            }
+            client.close();
+            List<String> told = new ArrayList<>(List.of(module.next(), module.next()));
+            told.sort(null);
+            assertEquals(List.of("NOT_SENT closed", "gone"), told);
+            held.release();
+            Socket first = held.next();
+            awaitRested("s1");
+            try (Client other = new Client(at).send(request(kind, "stays"))) {
+                String head = FakeUpstream.head(first.getInputStream());
+                assertTrue(head.contains("Req-Id: stays\r\n"), head);
+                first.getOutputStream().write(EMPTY.getBytes(StandardCharsets.US_ASCII));
+                assertEquals(200, other.status());
+            }
+        }
+    }
+
+    @Test
+    void ofManyClientsThatLeaveAtOnceNoneIsSentOn() throws IOException, InterruptedException {
+        try (HeldListener held = new HeldListener()) {
+            startHeld(held, false);
+            List<Client> clients = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                clients.add(new Client(at).send(request("book", "gone" + i)));
+            }
+            for (int i = 0; i < 20; i++) {
+                module.requests.poll(20, TimeUnit.SECONDS);
+            }
+            for (Client client : clients) {
+                client.close();
+            }
+            for (int i = 0; i < 40; i++) {
+                String told = module.next();
+                assertTrue(told.equals("gone") || told.equals("NOT_SENT closed"), told);
+            }
+            held.release();
+            Socket first = held.next();
+            awaitRested("s1");
+            module.server = null;
+            new Client(at).send(request("book", "held")).close();
+            assertEquals("gone", module.next());
+            onLoop(() -> module.actions.closeIdle("s1"));
+            assertEquals(-1, first.getInputStream().read(), "no byte of any of them came");
+        }
+    }
+
+    /** Sixteen wait behind the one that is served: as many as are taken ahead. */
+    @Test
+    void theEndOfAClientWithManyRequestsAheadIsSeen() throws IOException, InterruptedException {
+        start();
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < 17; i++) {
+            all.append(request("book", "a" + i));
+        }
+        Client client = new Client(at).send(all.toString());
+        assertEquals("a0", upstream.next().header("Req-Id"));
+        client.send(request("book", "b"));
+        client.close();
+        assertEquals("gone", module.next());
+        assertTrue(upstream.isEmpty());
+        assertEquals(1, module.requests.size(), "the sixteen behind it were not begun with");
+    }
+
+    @Test
+    void whatComesBehindSixteenAheadIsServedInItsTurn() throws IOException, InterruptedException {
+        start();
+        try (Client client = new Client(at)) {
+            StringBuilder all = new StringBuilder();
+            for (int i = 0; i < 17; i++) {
+                all.append(request("read", "a" + i));
+            }
+            client.send(all.toString());
+            FakeUpstream.Got first = upstream.next();
+            StringBuilder more = new StringBuilder();
+            for (int i = 17; i < 30; i++) {
+                more.append(request("read", "a" + i));
+            }
+            client.send(more.toString());
+            first.answer(200, "", "0");
+            for (int i = 1; i < 30; i++) {
+                FakeUpstream.Got got = upstream.next();
+                assertEquals("a" + i, got.header("Req-Id"));
+                got.answer(200, "", Integer.toString(i));
+            }
+            for (int i = 0; i < 30; i++) {
+                assertEquals(200, client.status());
+                assertEquals(Integer.toString(i), new String(client.body));
+            }
+        }
+    }
+
+    /** Whoever listens at the address that its upstream has left is not that upstream. */
+    @Test
+    void anAttemptWhoseUpstreamHasMovedMeanwhileIsNotWrittenToItsOldAddress()
+            throws IOException, InterruptedException {
+        try (HeldListener held = new HeldListener()) {
+            startHeld(held, true);
+            try (Client client = new Client(at).send(request("book", "r1"))) {
+                module.requests.poll(20, TimeUnit.SECONDS);
+                endpoint = upstream.address();
+                onLoop(() -> module.actions.fetchList());
+                discovery.next().answer(200, "", list(50, true, "in_service"));
+                assertEquals("COMPLETE [s1=UP]", module.next());
+                held.release();
+                assertEquals("CONNECT_FAILED", module.next(), "it never ran, and may go again");
+                assertEquals(-1, held.next().getInputStream().read(), "nothing was written");
+                assertEquals(502, client.status());
+            }
+        }
+    }
+
+    @Test
+    void anAttemptWhoseConnectionComesUpAfterItMayRunIsNotWritten() throws IOException, InterruptedException {
+        try (HeldListener held = new HeldListener()) {
+            startHeld(held, true);
+            module.within = 100_000;
+            try (Client client = new Client(at).send(request("pay", "late"))) {
+                module.requests.poll(20, TimeUnit.SECONDS);
+                TimeUnit.MILLISECONDS.sleep(101);   // the time itself is what has to pass
+                held.release();
+                assertEquals("NOT_SENT", module.next());
+                assertEquals(502, client.status());
+                module.within = 0;
+                Socket first = held.next();
+                awaitRested("s1");
+                try (Client other = new Client(at).send(request("pay", "next"))) {
+                    String head = FakeUpstream.head(first.getInputStream());
+                    assertTrue(head.contains("Req-Id: next\r\n"), head);
+                    first.getOutputStream().write(EMPTY.getBytes(StandardCharsets.US_ASCII));
+                    assertEquals(200, other.status());
+                }
+            }
+        }
+    }
+
+    /** By the platform's page a request begins with its last byte: no answer before that can be its own. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 100_000})
+    void anAnswerThatComesBeforeTheRequestIsWholeIsNotPassedOn(int length)
+            throws IOException, InterruptedException {
+        try (ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+            endpoint = "127.0.0.1:" + server.getLocalPort();
+            start();
+            try (Client client = new Client(at)) {
+                client.send("POST /api/k1 HTTP/1.1\r\nReq-Id: r1\r\nReq-Kind: book\r\n"
+                    + "Req-Deadline-Ms: 20000\r\nContent-Length: 200000\r\n\r\n" + "x".repeat(100_000));
+                Socket box = server.accept();
+                box.setSoTimeout(20_000);
+                FakeUpstream.head(box.getInputStream());
+                box.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n"
+                    + "y".repeat(length)).getBytes());
+                assertEquals("CONNECT_FAILED", module.next());
+                assertEquals(502, client.status());
+            }
+        }
+    }
+
+    /** A second answer some milliseconds behind the first would be taken for that of the next request. */
+    @Test
+    void aConnectionThatHasJustBroughtAnAnswerIsNotUsedAtOnce() throws IOException, InterruptedException {
+        start();
+        AtomicInteger seen = new AtomicInteger();
+        module.onOutcome = () -> seen.set(module.actions.connected("s1") ? 1 : 2);
+        try (Client client = new Client(at)) {
+            client.send(request("read", "r1"));
+            FakeUpstream.Got first = upstream.next();
+            first.answer(200, "", "first");
+            assertEquals(200, client.status());
+            assertEquals("OK closed", module.next());
+            onLoop(() -> seen.compareAndSet(0, 3));
+            awaitRested("s1");
+            assertEquals(2, seen.get(), "not in the turn in which it was read");
+            first.raw("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nagain");
+            assertTrue(first.closedByPeer(), "nobody had asked");
+            assertFalse(connected("s1"));
+        }
+    }
+}
--- a/src/test/java/junctionhead/node/DiscoveryTest.java
+++ b/src/test/java/junctionhead/node/DiscoveryTest.java
@@ -4,8 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.concurrent.TimeUnit;
 import junctionhead.config.Config;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** How the list is asked for and watched. */
 class DiscoveryTest extends NodeFixture {
@@ -37,6 +39,133 @@
         assertEquals("FAILED []", module.next());
     }
 
+    private static final String BEGUN = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    private void startPushed() throws IOException, InterruptedException {
+        pushed = true;
+        start();
+    }
+
+    @Test
+    void listsMayComeIndentedOnWatchesAndOnCalls() throws IOException, InterruptedException {
+        start();
+        onLoop(() -> module.actions.watch(true));
+        FakeUpstream.Got watch = discovery.next();
+        String first = list(43, true, "in_service").replace(",", ",\n    ").replace("{", "{\n  ");
+        watch.raw(BEGUN + chunk(first.substring(0, 40)) + chunk(first.substring(40)));
+        assertEquals("COMPLETE [s1=UP]", module.next());
+        watch.raw(chunk("\n") + chunk(list(44, false, "terminating").replace(",", "\r\n,")));
+        assertEquals("PARTIAL [s1=DRAINING]", module.next());
+        onLoop(() -> module.actions.fetchList());
+        discovery.next().answer(200, "", first.replace("43", "45").strip());
+        assertEquals("COMPLETE [s1=UP]", module.next());
+    }
+
+    @Test
+    void aWholeListThatIsOlderThanTheWatchsWordDoesNotUndoADrain() throws IOException, InterruptedException {
+        start();
+        onLoop(() -> module.actions.watch(true));
+        FakeUpstream.Got watch = discovery.next();
+        watch.raw(BEGUN + chunk(list(43, true, "in_service")));
+        assertEquals("COMPLETE [s1=UP]", module.next());
+        onLoop(() -> module.actions.fetchList());
+        FakeUpstream.Got fetch = discovery.next();
+        watch.raw(chunk(list(44, false, "terminating")));
+        assertEquals("PARTIAL [s1=DRAINING]", module.next());
+        fetch.answer(200, "", list(43, true, "in_service"));
+        assertEquals("PARTIAL []", module.next(), "the call is answered, and says nothing new");
+        onLoop(() -> module.actions.fetchList());
+        discovery.next().answer(200, "", list(45, true, "in_service"));
+        assertEquals("COMPLETE [s1=UP]", module.next());
+    }
+
+    @Test
+    void aWatchThatGoesBackIsBegunAnewFromTheBeginning() throws IOException, InterruptedException {
+        start();
+        onLoop(() -> module.actions.watch(true));
+        FakeUpstream.Got watch = discovery.next();
+        watch.raw(BEGUN + chunk(list(43, true, "in_service")) + chunk(list(44, false, "terminating")));
+        assertEquals("COMPLETE [s1=UP]", module.next());
+        assertEquals("PARTIAL [s1=DRAINING]", module.next());
+        watch.raw(chunk(list(43, false, "in_service")));
+        FakeUpstream.Got next = discovery.next();
+        assertEquals("GET /api/targets?watch=1&from=0 HTTP/1.1", next.line());
+        assertTrue(watch.closedByPeer());
+        next.raw(BEGUN + chunk(list(7, true, "terminating")));
+        assertEquals("COMPLETE [s1=DRAINING]", module.next());
+        next.raw(chunk(list(8, false, "in_service")));
+        assertEquals("PARTIAL [s1=UP]", module.next());
+    }
+
+    /** Cut within a line: what was whole counts, and the rest is asked for from there. */
+    @Test
+    void aWatchThatIsResetWithinALineIsBegunAnewFromTheLastWholeList()
+            throws IOException, InterruptedException {
+        startPushed();
+        FakeUpstream.Got watch = discovery.next();
+        watch.raw(BEGUN + chunk(list(43, true, "in_service")));
+        assertEquals("COMPLETE [s1=UP]", module.next());
+        watch.raw(chunk(list(44, false, "terminating").substring(0, 60)));
+        watch.reset();
+        FakeUpstream.Got next = discovery.next();
+        assertEquals("GET /api/targets?watch=1&from=43 HTTP/1.1", next.line());
+        next.raw(BEGUN + chunk(list(44, false, "terminating")));
+        assertEquals("PARTIAL [s1=DRAINING]", module.next());
+    }
+
+    /** It drips within a list and never ends it: no sign of life. */
+    @Test
+    @Timeout(60)
+    void aWatchThatDripsWithoutEndingAListIsSilent() throws IOException, InterruptedException {
+        start();
+        onLoop(() -> module.actions.watch(true));
+        FakeUpstream.Got watch = discovery.next();
+        watch.raw(BEGUN + chunk(list(43, true, "in_service")));
+        assertEquals("COMPLETE [s1=UP]", module.next());
+        watch.raw(chunk("{\n\"rev\":"));
+        while (discovery.isEmpty()) {
+            try {
+                watch.raw(chunk(" "));
+            } catch (IOException e) {
+                assertEquals("GET /api/targets?watch=1&from=43 HTTP/1.1", discovery.next().line());
+                return;
+            }
+            TimeUnit.MILLISECONDS.sleep(50);
+        }
+        FakeUpstream.Got next = discovery.next();
+        assertEquals("GET /api/targets?watch=1&from=43 HTTP/1.1", next.line());
+        next.raw(BEGUN + chunk(list(44, false, "terminating")));
+        assertEquals("PARTIAL [s1=DRAINING]", module.next(), "and no failure before it");
+    }
+
+    /** What an agent has at its return counts at once: it is asked again while it says nothing. */
+    @Test
+    @Timeout(60)
+    void anAgentThatSaysNothingIsAskedBesideAndWhicheverCallAnswersCounts()
+            throws IOException, InterruptedException {
+        startPushed();
+        FakeUpstream.Got first = discovery.next();
+        FakeUpstream.Got second = discovery.next();
+        first.raw(BEGUN + chunk(list(43, true, "terminating")));
+        assertEquals("COMPLETE [s1=DRAINING]", module.next());
+        assertTrue(second.closedByPeer(), "one watch is enough");
+        first.raw(chunk(list(44, false, "in_service")));
+        assertEquals("PARTIAL [s1=UP]", module.next());
+    }
+
+    @Test
+    @Timeout(60)
+    void atMostThreeCallsWaitForASilentAgent() throws IOException, InterruptedException {
+        startPushed();
+        FakeUpstream.Got first = discovery.next();
+        discovery.next();
+        discovery.next();
+        FakeUpstream.Got fourth = discovery.next();
+        assertTrue(first.closedByPeer());
+        fourth.raw(BEGUN + chunk(list(43, true, "in_service")));
+        assertEquals("COMPLETE [s1=UP]", module.next());
+    }
+
     /** A new configuration names another discovery: watched at once, and the old one's end is no failure. */
     @Test
     void aNewConfigurationMovesTheWatchAndKeepsTheListAndTheRequests()
--- /dev/null
+++ b/src/test/java/junctionhead/node/HeldListener.java
@@ -0,0 +1,92 @@
+package junctionhead.node;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** An upstream whose connections come up only once the test says so: its queue of waiting ones is full. */
+final class HeldListener implements Closeable {
+    private final ServerSocket server;
+    private final List<Socket> fillers = new ArrayList<>();
+    private final Set<Integer> ports = new HashSet<>();
+    private final List<Socket> taken = new ArrayList<>();
+    private final BlockingQueue<Socket> accepted = new LinkedBlockingQueue<>();
+
+    HeldListener() throws IOException {
+        server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        while (fill()) {
+            if (fillers.size() > 50) {
+                throw new IOException("the queue never fills");
+            }
+        }
+    }
+
+    private boolean fill() throws IOException {
+        Socket socket = new Socket();
+        try {
+            socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort()),
+                300);
+            fillers.add(socket);
+            ports.add(socket.getLocalPort());
+            return true;
+        } catch (SocketTimeoutException e) {
+            socket.close();
+            return false;
+        }
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    /** From here on connections come up. */
+    void release() {
+        Thread accepting = new Thread(() -> {
+            try {
+                while (true) {
+                    Socket socket = server.accept();
+                    if (!ports.contains(socket.getPort())) {
+                        socket.setSoTimeout(20_000);
+                        accepted.add(socket);
+                    }
+                }
+            } catch (IOException e) {
+                Thread.currentThread().interrupt();     // it has been closed
+            }
+        });
+        accepting.setDaemon(true);
+        accepting.start();
+    }
+
+    /** The next connection that is not the test's own. */
+    Socket next() throws InterruptedException {
+        Socket socket = accepted.poll(20, TimeUnit.SECONDS);
+        if (socket == null) {
+            throw new AssertionError("no connection came up");
+        }
+        taken.add(socket);
+        return socket;
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (Socket socket : fillers) {
+            socket.close();
+        }
+        for (Socket socket : taken) {
+            socket.close();
+        }
+    }
+}
--- a/src/test/java/junctionhead/node/LongBodiesTest.java
+++ b/src/test/java/junctionhead/node/LongBodiesTest.java
@@ -74,6 +74,7 @@
             writing.get(60, TimeUnit.SECONDS);
             got.socket().getOutputStream().write(wire, half, wire.length - half);
             assertArrayEquals(body, reading.get(60, TimeUnit.SECONDS));
+            awaitRested("s1");
             client.send(SAFE);
             assertTrue(client.answerAfter(upstream).startsWith("HTTP/1.1 200"));
         }
--- a/src/test/java/junctionhead/node/NodeFixture.java
+++ b/src/test/java/junctionhead/node/NodeFixture.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import junctionhead.Policy;
@@ -27,6 +28,9 @@
         final BlockingQueue<String> told = new LinkedBlockingQueue<>();
         final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
         volatile long timeout;
+        volatile long within;                       // 0: no matter when
+        volatile boolean cancels = true;            // what its client has left
+        volatile Runnable onOutcome = () -> { };
         volatile boolean broken;
         volatile String server = "s1";
         volatile Policy.Actions actions;
@@ -51,7 +55,11 @@
                 throw new IllegalStateException("broken");
             }
             if (server != null) {
-                out.send(request, server, timeout);
+                if (within > 0) {
+                    out.send(request, server, timeout, within);
+                } else {
+                    out.send(request, server, timeout);
+                }
             }
         }
 
@@ -59,6 +67,7 @@
         public void outcome(long now, String request, int attempt, Outcome outcome, long latency,
                 boolean closed, Load load, Actions out) {
             told.add(outcome + (load == null ? "" : " " + load.inFlight()) + (closed ? " closed" : ""));
+            onOutcome.run();
             if (!closed) {
                 out.fail(request);
             }
@@ -70,7 +79,9 @@
         @Override
         public void clientGone(long now, String request, Actions out) {
             told.add("gone");
-            out.cancel(request, 0);
+            if (cancels) {
+                out.cancel(request, 0);
+            }
         }
 
         @Override
@@ -140,6 +151,7 @@
     final Scripted module = new Scripted();
     final List<String> log = new ArrayList<>();
     boolean rehearse;
+    boolean pushed;                                 // lists come from an agent
     String endpoint;
     FakeUpstream upstream;
     FakeUpstream discovery;
@@ -213,6 +225,7 @@
         @SuppressWarnings("unchecked")
         Map<String, Object> all = (Map<String, Object>) settings.get("Limits");
         all.putAll(limits);
+        settings.put("MembershipMode", pushed ? "push" : "ask");
         node = new Node(config(sockets, settings, 0), (s, seed) -> module, rehearse, line -> {
             synchronized (log) {
                 log.add(line);
@@ -245,6 +258,19 @@
         return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
     }
 
+    boolean connected(String server) {
+        CompletableFuture<Boolean> told = new CompletableFuture<>();
+        onLoop(() -> told.complete(module.actions.connected(server)));
+        return told.join();
+    }
+
+    /** Waits until a connection to that upstream may carry the next request. */
+    void awaitRested(String server) throws InterruptedException {
+        while (!connected(server)) {
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+    }
+
     void onLoop(Runnable action) {
         node.loop().execute(action);
     }
--- a/src/test/java/junctionhead/node/UpstreamsTest.java
+++ b/src/test/java/junctionhead/node/UpstreamsTest.java
@@ -15,7 +15,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -60,12 +59,6 @@
         }
     }
 
-    private boolean connected(String server) {
-        CompletableFuture<Boolean> told = new CompletableFuture<>();
-        onLoop(() -> told.complete(module.actions.connected(server)));
-        return told.join();
-    }
-
     @Test
     @Timeout(60)
     void theModuleCanAskWhetherAHandshakeIsNeeded() throws IOException, InterruptedException {
@@ -77,7 +70,7 @@
             assertFalse(connected("s1"), "it carries a request, and one at a time");
             got.answer(200, "", "ok");
             assertEquals(200, client.status());
-            assertTrue(connected("s1"));
+            awaitRested("s1");
             assertFalse(connected("nobody"));
         }
     }
