A test whose request was over before a cold loop heard of it gives it time

The loop loads classes for 250 to 350 ms; the request had 150 ms, so it was answered before the module heard of it, and a module that has heard nothing is not told of its end. Now the request has 2 s, and the fault has to stand right before the last-resort line, lines on standstills aside. As strict as before: the same answer, the same word to the module, the same order of lines.

--- a/src/test/java/junctionhead/node/AnswersTest.java
+++ b/src/test/java/junctionhead/node/AnswersTest.java
@@ -6,6 +6,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -128,10 +129,13 @@
         start();
         module.broken = true;
         try (Client client = new Client(at)) {
-            assertEquals(502, client.send(SAFE.replace("20000", "150")).status());
+            // Time enough for a loop that loads its classes first: the module has to hear of it before its end.
+            assertEquals(502, client.send(SAFE.replace("20000", "2000")).status());
             assertEquals("gone", module.next());
             synchronized (log) {
-                assertTrue(log.get(log.size() - 2).startsWith("fault 1: "), log.toString());
+                // A machine that is slow to load classes is told of as well.
+                List<String> said = log.stream().filter(l -> !l.startsWith("stood still")).toList();
+                assertTrue(said.get(said.size() - 2).startsWith("fault 1: "), log.toString());
             }
             module.broken = false;
             client.send(SAFE);
