A discovery that goes back again and again is asked anew with a pause between

Cause: Discovery.channelRead0 began a watch anew at once at each version that goes back; one that always does was asked in a tight loop. A call that is not the newest watch began another one beside it. Now restart() takes the pause of Silence (at once the first time, 500 ms where that was within a second), for broken watches as for confused ones, and whether anybody is told of a failure is decided in Silence.next, without I/O. A text with two values is no list (TargetsReader): only the first was read. Test: DiscoveryTest.aWatchThatGoesBackAgainAndAgain..., 7 ms between two watches on the code before.

--- a/src/main/java/junctionhead/membership/Discovery.java
+++ b/src/main/java/junctionhead/membership/Discovery.java
@@ -247,10 +247,14 @@
             }
             Versions.Verdict verdict = versions.judge(targets.rev(), targets.all(), asked, !answered);
             if (verdict == Versions.Verdict.CONFUSED) {
+                if (watch != this) {                // one is under way that will say it
+                    ended(false);
+                    return;
+                }
                 log.accept("discovery went back from version " + versions.inUse() + " to " + targets.rev()
                     + ": asking for the whole list");
                 versions.forget();
-                watch(true);
+                restart(silence.pause(millis(), true));
                 return;
             }
             boolean first = !answered;
@@ -291,19 +295,24 @@
             if (watching && answered) {
                 silence.broke(millis(), heardAt, silent);
             }
-            if (watching && (pushed || answered && silent)) {
-                // A silent one is no failure of the call, and there is a list to catch up with.
-                long pause = silence.pause(millis(), answered);
-                if (pause == 0) {
-                    again();
-                } else {
-                    loop.schedule(this::again, pause, TimeUnit.MILLISECONDS);
-                }
+            long pause = watching ? silence.next(millis(), answered, silent) : Silence.TELL;
+            if (pause != Silence.TELL) {
+                restart(pause);
             } else if (!pushed) {
                 news.list(ListKind.FAILED, null, 0);
             }
         }
 
+        // Nobody is told: the list stays in use meanwhile.
+        private void restart(long pause) {
+            drop();
+            if (pause == 0) {
+                again();
+            } else {
+                loop.schedule(this::again, pause, TimeUnit.MILLISECONDS);
+            }
+        }
+
         private void again() {
             if (watch == null && wanted) {
                 watch(true);
--- a/src/main/java/junctionhead/membership/Silence.java
+++ b/src/main/java/junctionhead/membership/Silence.java
@@ -14,6 +14,8 @@
     private static final long TOLD = 6_000;
     private static final long NOT_AGAIN = 1_000;    // between watches that are begun anew at once
     private static final long PAUSE = 500;
+    /** Of {@link #next}: it is told as a failure, and whoever asked decides when to ask again. */
+    static final long TELL = -1;
     private static final long SPREAD = 1_000;       // over which all balancers begin anew at one discovery
 
     private final boolean pushed;
@@ -50,7 +52,17 @@
         }
     }
 
-    /** In how many ms the next watch begins, where one has ended that had been {@code answered}. */
+    /**
+     * A watch has ended: in how many ms the next one begins, or {@link #TELL}. A silent one that is asked for
+     * is no failure of its call, and there is a list to catch up with; where lists are pushed nobody asks.
+     *
+     * @param answered it had brought what it was made for
+     */
+    long next(long now, boolean answered, boolean silent) {
+        return pushed || answered && silent ? pause(now, answered) : TELL;
+    }
+
+    /** In how many ms a watch is begun anew, where one has ended that had been {@code answered}. */
     long pause(long now, boolean answered) {
         if (answered && now - againAt >= NOT_AGAIN) {
             againAt = now;
--- a/src/main/java/junctionhead/membership/TargetsReader.java
+++ b/src/main/java/junctionhead/membership/TargetsReader.java
@@ -1,5 +1,7 @@
 package junctionhead.membership;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -13,11 +15,17 @@
 
 /** Reads lists of upstreams in the form of the platform's discovery. */
 public final class TargetsReader {
+    private static final JsonFactory FACTORY = new JsonFactory();
+
     private TargetsReader() { }
 
     public static Targets parse(String json, SettingsReader.Boot boot) {
-        try {
-            return of(JSON.std.anyFrom(json), boot);
+        try (JsonParser parser = FACTORY.createParser(json)) {
+            Object value = JSON.std.anyFrom(parser);
+            if (parser.nextToken() != null) {
+                throw new IllegalArgumentException("more than one value");
+            }
+            return of(value, boot);
         } catch (IOException e) {
             throw new IllegalArgumentException("not JSON");
         }
--- a/src/test/java/junctionhead/membership/SilenceTest.java
+++ b/src/test/java/junctionhead/membership/SilenceTest.java
@@ -55,6 +55,15 @@
         assertFalse(new Silence(false, 0, 1).patient(0), "each call costs a discovery that is asked");
     }
 
+    @Test
+    void whoeverAskedIsToldOfAFailureAndASilentWatchIsNone() {
+        Silence asked = new Silence(false, 0, 1);
+        assertEquals(Silence.TELL, asked.next(0, true, false), "it broke");
+        assertEquals(Silence.TELL, asked.next(0, false, true), "it never answered");
+        assertEquals(0, asked.next(0, true, true));
+        assertTrue(new Silence(true, 0, 1).next(0, false, false) > 0, "nobody asks an agent but this");
+    }
+
     @Test
     void watchesThatBreakAgainAndAgainAreNotBegunInATightLoop() {
         Silence silence = new Silence(true, 99, 100);
--- a/src/test/java/junctionhead/node/DiscoveryTest.java
+++ b/src/test/java/junctionhead/node/DiscoveryTest.java
@@ -97,6 +97,24 @@
         assertEquals("PARTIAL [s1=UP]", module.next());
     }
 
+    /** Asked again at once the first time only: not in a tight loop that neither side gets out of. */
+    @Test
+    void aWatchThatGoesBackAgainAndAgainIsBegunAnewWithAPauseBetween()
+            throws IOException, InterruptedException {
+        start();
+        onLoop(() -> module.actions.watch(true));
+        String confused = chunk(list(43, true, "in_service")) + chunk(list(42, false, "in_service"));
+        discovery.next().raw(BEGUN + confused);
+        assertEquals("COMPLETE [s1=UP]", module.next());
+        FakeUpstream.Got second = discovery.next();
+        long since = System.nanoTime();
+        second.raw(BEGUN + confused);
+        assertEquals("COMPLETE [s1=UP]", module.next());
+        discovery.next();
+        long pause = (System.nanoTime() - since) / 1_000_000;
+        assertTrue(pause >= 400, "begun anew after " + pause + " ms");
+    }
+
     /** Cut within a line: what was whole counts, and the rest is asked for from there. */
     @Test
     void aWatchThatIsResetWithinALineIsBegunAnewFromTheLastWholeList()
