What is sent on and what an ending proves is decided in AttemptRules, without I/O

Need: Upstreams decided between its socket calls whether an attempt may begin and what a broken connection proves. AttemptRules holds both now. One thing changes: an answer 200 before the request's last byte ended the attempt as CONNECT_FAILED (never ran), though whoever answers so keeps to no rule; it ends as RESET, so that an unsafe request is not sent again on its word. Tests: AttemptRulesTest; in CrossingsTest two within the end after SIGTERM (a client that leaves while its upstream's connection comes up; an upstream that hangs), and HeldListener in place of UpstreamsTest's own.

--- a/src/main/java/junctionhead/node/Node.java
+++ b/src/main/java/junctionhead/node/Node.java
@@ -133,7 +133,7 @@
             at = signals.starting(node);
         } catch (Exception e) {     // sync() rethrows what bind failed with, whatever its type
             signals.failed();
-            log.accept(e.getMessage());
+            log.accept(e instanceof Config.Bad || e instanceof IOException ? e.getMessage() : e.toString());
             log.close(LAST_LINES_MS);
             return 1;
         }
--- a/src/main/java/junctionhead/upstream/Upstreams.java
+++ b/src/main/java/junctionhead/upstream/Upstreams.java
@@ -389,16 +389,15 @@
             }
             if (call == null) {
                 rest();                     // its attempt was given up meanwhile: the handshake is paid for
-            } else if (clock.now() >= call.before) {
-                finish(Outcome.NOT_SENT, null, null);       // it may not run any more, or nobody waits
-                rest();
-            } else if (clock.now() >= upstream.stopAt || !endpoint.equals(upstream.endpoint)) {
-                // Rule 3: the list changed while this one waited for its connection. Another may take it.
-                // And whoever listens at an address that its upstream has left is not that upstream.
-                finish(Outcome.CONNECT_FAILED, null, null);
-                close();
-            } else {
+                return;
+            }
+            Outcome unbegun = AttemptRules.unbegun(clock.now(), call.before, upstream.stopAt,
+                !endpoint.equals(upstream.endpoint));
+            if (unbegun == null) {
                 write(call);
+            } else {
+                finish(unbegun, null, null);
+                rest();                     // closes it where its upstream drains or has moved
             }
         }
 
@@ -473,7 +472,8 @@
 
         @Override
         public void began(Answer answer) {
-            if (isForged(answer)) {
+            if (AttemptRules.isForged(answer.outcome(), written)) {
+                finish(Outcome.RESET, null, null);
                 close();
                 return;
             }
@@ -517,15 +517,10 @@
             channel.close();
         }
 
-        // An upstream begins with a request when its last byte has come: what says before that it has served
-        // it was made for another. closed() tells that this one never ran.
-        private boolean isForged(Answer answer) {
-            return !written && answer.outcome() == Outcome.OK;
-        }
-
         @Override
         public void answered(Answer answer, boolean usable) {
-            if (call != null && isForged(answer)) {
+            if (call != null && AttemptRules.isForged(answer.outcome(), written)) {
+                finish(Outcome.RESET, null, null);
                 close();
                 return;
             }
@@ -552,12 +547,11 @@
             close();                                // what became of the request is told in closed()
         }
 
-        // The line between what never ran and what may have is the request's last byte.
         private void closed() {
             budget.closed(lease, System.nanoTime());
             upstream.idle.remove(this);
             reader.ended();
-            finish(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null, null);
+            finish(AttemptRules.broken(written), null, null);
         }
     }
 }
--- a/src/test/java/junctionhead/node/HeldListener.java
+++ b/src/test/java/junctionhead/node/HeldListener.java
@@ -2,16 +2,22 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Future;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -69,6 +75,43 @@
         accepting.start();
     }
 
+    /**
+     * Answers each request on the connections that come up from here on.
+     *
+     * @return the heads that came: it ends when the last of those connections has ended, and this is closed
+     */
+    Future<List<String>> answer(String response) {
+        release();
+        List<String> heads = Collections.synchronizedList(new ArrayList<>());
+        return CompletableFuture.supplyAsync(() -> {
+            List<CompletableFuture<Void>> served = new ArrayList<>();
+            while (!server.isClosed() || !accepted.isEmpty()) {
+                try {
+                    Socket socket = accepted.poll(10, TimeUnit.MILLISECONDS);
+                    if (socket != null) {
+                        served.add(CompletableFuture.runAsync(() -> answer(socket, response, heads)));
+                    }
+                } catch (InterruptedException e) {
+                    throw new CompletionException(e);
+                }
+            }
+            served.forEach(CompletableFuture::join);
+            return heads;
+        });
+    }
+
+    private static void answer(Socket socket, String response, List<String> heads) {
+        try (socket) {
+            for (String head = FakeUpstream.head(socket.getInputStream()); head != null;
+                    head = FakeUpstream.head(socket.getInputStream())) {
+                heads.add(head);
+                socket.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** The next connection that is not the test's own. */
     Socket next() throws InterruptedException {
         Socket socket = accepted.poll(20, TimeUnit.SECONDS);
