The loop's end closes its connections, also where it is asked for while tasks run

Seen: two of 18 runs of CrossingsTest read nothing from an upstream's connection for 20 s after Node.stop had returned; ss: both ends established, held by the JVM. Ruled out: the held listener's own connections, a stop that hangs, idle connections that are not swept (they are after 6 s). Cause: Node.stop called shutdownGracefully with no time of quiet. Netty 4.2's SingleThreadIoEventLoop.run looks whether it is ending, closes the channels if so, runs its tasks, and then confirms the end; asked for between the look and the confirmation, the loop ends and its channels stay open. In the balancer's own process the system closes them; embedded they leaked. Test: WholeMillisTest.itsEndClosesTheConnections, red each time without (20 s and nothing read).

--- a/src/main/java/junctionhead/node/Node.java
+++ b/src/main/java/junctionhead/node/Node.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
@@ -52,7 +51,7 @@
     static final long LAST_LINES_MS = 500;  // for the last lines, if somebody reads them
 
     private final Consumer<String> log;
-    private final EventLoopGroup group = new WholeMillis();
+    private final WholeMillis group = new WholeMillis();
     private final EventLoop loop = group.next();
     private final Dispatcher dispatcher;
     private final Upstreams upstreams;
@@ -461,7 +460,7 @@
         await();
         log.accept("stopped: " + dispatcher.summary() + "; " + budget.summary());
         if (!config.inherited()) {      // its end would take standard error along, and the last lines
-            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            group.end();
         }
     }
 
--- a/src/test/java/junctionhead/loop/WholeMillisTest.java
+++ b/src/test/java/junctionhead/loop/WholeMillisTest.java
@@ -1,13 +1,20 @@
 package junctionhead.loop;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SelectStrategy;
 import io.netty.channel.SelectStrategyFactory;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.channels.spi.SelectorProvider;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -54,4 +61,19 @@
         assertTrue(ours < 4, ours + " turns a timer, Netty's own " + plain);
         assertTrue(plain > 2 * ours, "without need: Netty's own takes " + plain + ", this one " + ours);
     }
+
+    /** Asked for while tasks run, as at the end of a balancer's last wait. */
+    @Test
+    void itsEndClosesTheConnections() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+            WholeMillis group = new WholeMillis();
+            new Bootstrap().group(group).channel(NioSocketChannel.class)
+                .handler(new ChannelInboundHandlerAdapter()).connect(server.getLocalSocketAddress()).sync();
+            try (Socket peer = server.accept()) {
+                peer.setSoTimeout(20_000);
+                group.next().execute(group::end);
+                assertEquals(-1, peer.getInputStream().read());
+            }
+        }
+    }
 }
--- a/src/test/java/junctionhead/node/AnswersTest.java
+++ b/src/test/java/junctionhead/node/AnswersTest.java
@@ -129,7 +129,7 @@
         start();
         module.broken = true;
         try (Client client = new Client(at)) {
-            // Time enough for a loop that loads its classes first: the module has to hear of it before its end.
+            // Time enough for a loop that loads its classes first: the module has to hear of it in time.
             assertEquals(502, client.send(SAFE.replace("20000", "2000")).status());
             assertEquals("gone", module.next());
             synchronized (log) {
