A long body that waits for its attempt is read on, and its client's end is seen

Cause: Intake.Inflow turned reading off with the first piece until an attempt took the body; the client's end lay behind what was not read, and the request was sent on whenever its connection came up. It is read on now, up to 2 MiB of all such bodies together (a Room of its own, so that short bodies never want room for it), given back when the attempt begins, the answer leaves or the client goes. Beyond that reading rests as before. And: a request is written to an idle connection only behind the present pass over the sockets. Where the upstream's end lay in the same pass behind the request, it was written to a dying connection and ended as a reset that may have run: unsafe requests failed.

--- a/src/main/java/junctionhead/front/http1/Client.java
+++ b/src/main/java/junctionhead/front/http1/Client.java
@@ -58,6 +58,7 @@
     private boolean serving;                        // a request is being answered
     private boolean receiving;                      // part of a request has come in
     private boolean headed;                         // its head has
+    private Stream upload;                          // of the request that is served, if it is long
     private Outflow outflow;                        // of a long answer, until its last byte
     private long moved;                             // of long bodies: bytes when last looked at
     private long movedAt;
@@ -71,7 +72,7 @@
     Client(ClientServer server, Channel channel) {
         this.server = server;
         this.channel = channel;
-        this.intake = new Intake(this, server.room());
+        this.intake = new Intake(this, server.room(), server.early());
         this.lease = server.leaseFor(this, channel);
         channel.pipeline().addLast(new Mark(), gate, decoder, new HttpResponseEncoder(), intake, this);
     }
@@ -146,10 +147,28 @@
             outflow.rest.drop();
             outflow = null;
         }
+        letGo();
+        while (!ahead.isEmpty()) {
+            letGo(ahead.poll());
+        }
+    }
+
+    // Nothing of the request that was served is needed any more.
+    private void letGo() {
         server.room().give(charged);
         charged = 0;
-        while (!ahead.isEmpty()) {
-            server.room().give(ahead.poll().body().length);
+        letGo(upload);
+        upload = null;
+    }
+
+    private void letGo(Taken unserved) {
+        server.room().give(unserved.body().length);
+        letGo(unserved.rest());
+    }
+
+    private static void letGo(Stream unwanted) {
+        if (unwanted != null && !unwanted.started()) {
+            unwanted.drop();
         }
     }
 
@@ -185,12 +204,13 @@
         receiving = false;
         headed = false;
         if (lease.ending()) {
+            letGo(taken.rest());
             return;                                 // behind the end: its client asks elsewhere
         }
         server.budget().asked(lease, System.nanoTime());
         server.room().take(body.length);
         if (ahead.size() >= AHEAD_MOST) {           // in what had been read already
-            server.room().give(body.length);
+            letGo(taken);
             bad(HttpResponseStatus.BAD_REQUEST, "too many requests sent ahead");
         } else if (serving || !channel.isWritable()) {
             ahead.add(taken);
@@ -218,8 +238,7 @@
     public void cut(HttpResponseStatus status, String why) {
         Taken last = ahead.peekLast();
         if (last != null) {                         // its turn has not come
-            server.room().give(last.body().length);
-            ahead.removeLast();
+            letGo(ahead.removeLast());
             intake.drop();
             bad(status, why);
             return;
@@ -239,7 +258,7 @@
     /** Refuses the request that is being served, and with it all that its client sent behind it. */
     void refuse(HttpResponseStatus status, String why) {
         while (!ahead.isEmpty()) {
-            server.room().give(ahead.poll().body().length);
+            letGo(ahead.poll());
         }
         if (problem == null) {
             readNoMore(status, why);
@@ -275,6 +294,7 @@
     private void serve(Taken request) {
         serving = true;
         charged = request.body().length;
+        upload = request.rest();
         server.serve(this, request.head(), request.body(), request.rest(), request.length());
     }
 
@@ -293,8 +313,7 @@
             boolean keep) {
         gone = null;
         linger = intake.flows() ? Order.LENGTH_MOST : LINGER_BYTES;     // it may write all before it reads
-        server.room().give(charged);
-        charged = 0;
+        letGo();
         boolean more = receiving || problem != null || decoder.holdsMore();
         boolean stay = server.budget().answered(lease, keep && server.keeps() && !intake.flows(), more,
             System.nanoTime());
@@ -343,8 +362,7 @@
     /** Begins a long answer: its head and what is there of it; the rest follows as the client takes it. */
     void pass(Answer answer, boolean keep, boolean old) {
         gone = null;
-        server.room().give(charged);
-        charged = 0;
+        letGo();
         boolean framed = answer.length() >= 0 || !old;  // HTTP/1.0 knows no chunks: RFC 9112, 6.1
         boolean wanted = keep && server.keeps() && !intake.flows() && framed;
         DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
--- a/src/main/java/junctionhead/front/http1/ClientServer.java
+++ b/src/main/java/junctionhead/front/http1/ClientServer.java
@@ -54,6 +54,7 @@
     private static final int READS = 4;             // in one turn: none keeps the others waiting
     private static final int CLOSES = 8;            // of those at rest, in one turn of the loop
     private static final int STRANGERS = 8;         // taken in every so often during a rehearsal
+    private static final long EARLY = 2 << 20;      // bytes of long bodies that wait for their attempts
 
     private final EventLoop loop;
     private SettingsReader.Boot boot;
@@ -61,6 +62,7 @@
     private final Budget budget;
     private final Consumer<String> log;
     private final Room room;
+    private final Room early = new Room(EARLY);
     private final Set<Client> clients = new LinkedHashSet<>();  // the oldest first
     private final LifeCycle life;
     private Channel listener;
@@ -195,6 +197,10 @@
         return room;
     }
 
+    Room early() {
+        return early;
+    }
+
     /** Takes no more connections. One that others listen at as well stays as it is, unread. */
     public void close() {
         if (shared) {
--- a/src/main/java/junctionhead/front/http1/Intake.java
+++ b/src/main/java/junctionhead/front/http1/Intake.java
@@ -42,15 +42,18 @@
 
     private final Taker taker;
     private final Room room;
+    private final Room early;
     private HttpRequest head;
     private byte[] body;
     private int length;
     private boolean over;
     private Inflow inflow;                          // of a long body, until its last byte
 
-    Intake(Taker taker, Room room) {
+    /** {@code early}: what long bodies may take that come in before anybody takes them. */
+    Intake(Taker taker, Room room, Room early) {
         this.taker = taker;
         this.room = room;
+        this.early = early;
     }
 
     @Override
@@ -138,9 +141,15 @@
         return inflow == null ? 0 : inflow.bytes;
     }
 
-    /** What follows of a long body. Until it has a taker nothing more is read. */
+    /**
+     * What follows of a long body. Until it has a taker it is read on while there is room: with reading off
+     * the end of its connection was not seen either, and what waited for its attempt was sent on behind its
+     * client.
+     */
     private final class Inflow extends Source {
         private final ArrayDeque<byte[]> held = new ArrayDeque<>();
+        private int charged;                        // of what is held
+        private boolean dropped;
         private boolean whole;
         private long bytes;
 
@@ -151,6 +160,8 @@
         @Override
         protected void begin() {
             pull(true);
+            early.give(charged);
+            charged = 0;
             while (!held.isEmpty()) {
                 taker().piece(held.poll());
             }
@@ -161,6 +172,10 @@
 
         @Override
         public void drop() {
+            dropped = true;
+            held.clear();
+            early.give(charged);
+            charged = 0;
             pull(true);                             // its client may have to finish before it reads
         }
 
@@ -170,10 +185,9 @@
                 refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "too large");
                 return;
             }
-            if (!started()) {
-                pull(false);
-                held.add(ByteBufUtil.getBytes(more));
-            } else if (more.isReadable()) {
+            if (!started() && !dropped) {
+                hold(ByteBufUtil.getBytes(more));
+            } else if (started() && more.isReadable()) {
                 taker().piece(ByteBufUtil.getBytes(more));
             }
             if (last) {
@@ -185,6 +199,15 @@
             }
         }
 
+        private void hold(byte[] piece) {
+            held.add(piece);
+            if (early.take(piece.length)) {
+                charged += piece.length;
+            } else {
+                pull(false);
+            }
+        }
+
         private void broken() {
             drop();
             if (started()) {
--- a/src/main/java/junctionhead/upstream/Upstreams.java
+++ b/src/main/java/junctionhead/upstream/Upstreams.java
@@ -203,7 +203,9 @@
             u.idle.remove(ready);
             ready.call = call;
             call.connection = ready;
-            afterNews.accept(ready::go);            // it may have stood still since the module decided
+            // Behind this pass over the sockets, in which its end may lie; and it may have stood still since
+            // the module decided.
+            loop.execute(() -> afterNews.accept(ready::go));
         } else {
             dial(u, call);
         }
@@ -366,6 +368,7 @@
         private Call call;
         private boolean begun;                      // some of the request may have been written
         private boolean written;                    // all of it has been
+        private boolean rested;                     // it has been idle
         private long idleSince;
 
         Connection(Upstream upstream) {
@@ -499,6 +502,7 @@
             if (upstream.stopAt < DrainGrace.NEVER || !endpoint.equals(upstream.endpoint)) {
                 close();
             } else {
+                rested = true;
                 upstream.idle.addLast(this);
                 budget.idle(lease, System.nanoTime());
             }
@@ -551,7 +555,13 @@
             budget.closed(lease, System.nanoTime());
             upstream.idle.remove(this);
             reader.ended();
-            finish(AttemptRules.broken(written), null, null);
+            if (call != null && rested && !begun) {
+                Call unbegun = call;                // its upstream has ended it at rest, and has seen nothing
+                call = null;
+                start(upstream.id, unbegun);
+            } else {
+                finish(AttemptRules.broken(written), null, null);
+            }
         }
     }
 }
--- a/src/test/java/junctionhead/node/CrossingsTest.java
+++ b/src/test/java/junctionhead/node/CrossingsTest.java
@@ -5,14 +5,17 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -235,6 +238,123 @@
         }
     }
 
+    private static String upload(String kind, String id, int length) {
+        return request(kind, id).replace("Content-Length: 1\r\n\r\nx",
+            "Content-Length: " + length + "\r\n\r\n");
+    }
+
+    /** A long body lies in the socket while its attempt waits, and the end of its client behind it. */
+    @ParameterizedTest
+    @CsvSource({"book,300000,300000,true", "book,300000,300000,false", "pay,900000,200000,false",
+        "book,70000,70000,false"})
+    void anUploadWhoseClientHasLeftIsNotSentOn(String kind, int length, int came, boolean cancels)
+            throws Exception {
+        Future<List<String>> heads;
+        try (HeldListener held = new HeldListener()) {
+            startHeld(held, cancels);
+            Client client = new Client(at).send(upload(kind, "gone", length) + "x".repeat(came));
+            assertTrue(module.requests.poll(20, TimeUnit.SECONDS).contains(" k1 "));
+            client.close();
+            List<String> told = new ArrayList<>(List.of(module.next(), module.next()));
+            told.sort(null);
+            assertEquals(List.of("NOT_SENT closed", "gone"), told);
+            heads = held.answer(EMPTY);
+            awaitRested("s1");
+            try (Client other = new Client(at).send(request("read", "next"))) {
+                assertEquals(200, other.status());
+            }
+            node.stop();
+            node = null;
+        }
+        List<String> all = heads.get(60, TimeUnit.SECONDS);
+        assertEquals(1, all.size(), all.toString());
+        assertTrue(all.get(0).contains("Req-Id: next\r\n"), all.toString());
+    }
+
+    /** What is held of long bodies that wait is given back, however they end, and is bounded. */
+    @Test
+    void longBodiesThatWaitAreHeldWithinBoundsAndComeUnchanged() throws IOException, InterruptedException {
+        start();
+        module.server = null;
+        for (int i = 0; i < 6; i++) {               // together more than may be held
+            try (Client client = new Client(at)) {
+                client.send(upload("book", "r" + i, 900_000) + "x".repeat(900_000));
+                module.requests.poll(20, TimeUnit.SECONDS);
+                String number = Integer.toString(i + 1, Character.MAX_RADIX);
+                if (i % 2 == 0) {
+                    onLoop(() -> module.actions.refuse(number, 0));
+                    assertEquals(503, client.status());
+                }
+            }
+            if (i % 2 == 1) {
+                assertEquals("gone", module.next());
+            }
+        }
+        List<Client> waiting = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            Client client = new Client(at).send(upload("book", "w" + i, 900_000));
+            byte[] body = new byte[900_000];
+            Arrays.fill(body, (byte) ('a' + i));
+            Thread writing = new Thread(() -> {
+                try {
+                    client.socket.getOutputStream().write(body);
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            });
+            writing.start();
+            waiting.add(client);
+            module.requests.poll(20, TimeUnit.SECONDS);
+        }
+        for (int i = 0; i < 4; i++) {
+            String number = Integer.toString(i + 7, Character.MAX_RADIX);
+            onLoop(() -> module.actions.send(number, "s1", 0));
+            FakeUpstream.Got got = upstream.next();
+            byte[] body = got.body();
+            assertEquals(900_000, body.length);
+            for (byte b : body) {
+                assertEquals('a' + i, b);
+            }
+            got.answer(200, "", "ok");
+            assertEquals(200, waiting.get(i).status());
+            waiting.get(i).close();
+        }
+    }
+
+    /** A request and its upstream's end lie in the sockets, the request in front: nothing is written. */
+    @ParameterizedTest
+    @ValueSource(strings = {"book", "read"})
+    void aConnectionWhoseEndLiesInTheSocketTakesNoRequest(String kind) throws Exception {
+        start();
+        try (Client client = new Client(at)) {
+            client.send(request("read", "first"));
+            FakeUpstream.Got first = upstream.next();
+            first.answer(200, "", "ok");
+            assertEquals(200, client.status());
+            assertEquals("OK closed", module.next());
+            awaitRested("s1");
+            CountDownLatch blocked = new CountDownLatch(1);
+            CountDownLatch goesOn = new CountDownLatch(1);
+            onLoop(() -> {
+                blocked.countDown();
+                try {
+                    goesOn.await(20, TimeUnit.SECONDS);
+                } catch (InterruptedException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            blocked.await(20, TimeUnit.SECONDS);
+            client.send(request(kind, "second"));
+            first.socket().close();
+            goesOn.countDown();
+            FakeUpstream.Got second = upstream.next();
+            assertEquals("second", second.header("Req-Id"));
+            second.answer(200, "", "ok");
+            assertEquals(200, client.status());
+            assertEquals("OK closed", module.next(), "one attempt, over another connection");
+        }
+    }
+
     /** By the platform's page a request begins with its last byte: no answer before that can be its own. */
     @ParameterizedTest
     @ValueSource(ints = {2, 100_000})
