--- a/src/main/java/junctionhead/loop/WholeMillis.java
+++ b/src/main/java/junctionhead/loop/WholeMillis.java
@@ -32,9 +32,9 @@
     }
 
     /**
-     * Ends the loop and all its channels, and does not wait for that; from any thread. Netty closes channels in
-     * the turn behind the one in which the end is asked for, and without a time of quiet there is no such turn
-     * where it is asked for while tasks run: the connections stayed open.
+     * Ends the loop and all its channels, and does not wait for that; from any thread. Netty closes channels
+     * in the turn behind the one in which the end is asked for, and without a time of quiet there is no such
+     * turn where it is asked for while tasks run: the connections stayed open.
      */
     public void end() {
         shutdownGracefully(QUIET_MS, END_MOST_MS, TimeUnit.MILLISECONDS);
