--- a/src/rig/java/junctionhead/rig/StandInBox.java
+++ b/src/rig/java/junctionhead/rig/StandInBox.java
@@ -381,8 +381,10 @@
 
         @Override
         public void reset() {
-            ((SocketChannelConfig) channel.config()).setSoLinger(0);
-            channel.close();
+            if (channel.isOpen()) {                 // it may have ended, and not have been told so yet
+                ((SocketChannelConfig) channel.config()).setSoLinger(0);
+                channel.close();
+            }
         }
 
         @Override
