--- a/src/test/java/junctionhead/node/CrossingsTest.java
+++ b/src/test/java/junctionhead/node/CrossingsTest.java
@@ -279,7 +279,8 @@
         for (int i = 0; i < 6; i++) {               // together more than may be held
             try (Client client = new Client(at)) {
                 // Its own time must not be what tells the module.
-                client.send(upload("book", "r" + i, 900_000).replace("20000", "120000") + "x".repeat(900_000));
+                client.send(upload("book", "r" + i, 900_000).replace("20000", "120000"));
+                client.send("x".repeat(900_000));
                 module.requests.poll(20, TimeUnit.SECONDS);
                 String number = Integer.toString(i + 1, Character.MAX_RADIX);
                 if (i % 2 == 0) {
