A request leaves only behind a last look for a standstill

Cause: Upstreams.Connection.go looks at the list and the time, then makes the request ready and writes it. A stop between afterNews' look and the write, a third of a turn in a JVM that has just started, has the news of the drain unread behind it: the look at stopAt, before or behind the stop, knows of no drain.

Now the request is encoded first; right before the flush it is asked whether the loop has stood still (ListNews.mayLieUnread). If so the connection is closed unwritten and the same attempt goes anew, behind the news. Long bodies leave behind the same look.

Second gap, by reading: Dispatcher.beat took its beat as come, stood still, and counted the next one from the waking: nothing told that news lay unread. The next one counts from the look that is taken.

StoodStillTest and the beat's test are red without.

--- a/src/main/java/junctionhead/core/Dispatcher.java
+++ b/src/main/java/junctionhead/core/Dispatcher.java
@@ -17,7 +17,7 @@
  * attempts; tells it what happens and carries out what it asks for. It decides nothing. All of it runs on the
  * event loop's thread.
  */
-public final class Dispatcher implements Policy.Actions {
+public final class Dispatcher implements Policy.Actions, ListNews {
     /** µs before a client's time is over at which it gets a failure if nothing else has answered it. */
     static final long GUARD = 6_000;
     /** µs before that at which the last attempt ends, so that the module can word the answer itself. */
@@ -142,13 +142,14 @@
         });
     }
 
-    /**
-     * Runs {@code task} once news of the list that may lie unread has been read: at once where the loop keeps
-     * up, else behind a whole pass over its sockets. The present pass may have begun before the standstill,
-     * and look at none that became ready since. On the loop.
-     */
+    @Override
+    public boolean mayLieUnread() {
+        return standstill.hidesNews(now());
+    }
+
+    @Override
     public void afterNews(Runnable task) {
-        if (standstill.hidesNews(now())) {
+        if (mayLieUnread()) {
             loop.soon(() -> loop.after(0, task));
         } else {
             task.run();
@@ -219,12 +220,28 @@
 
     /** From here on it is known at any time for how long the loop has not looked at its sockets. */
     public void beat() {
-        due(Standstill.BEAT, late -> {
-            if (standstill.tells(late, now())) {
-                log.accept("stood still for " + late / 1000 + " ms: what came meanwhile lay unread");
-            }
-            beat();
-        });
+        beat(now());
+    }
+
+    private void beat(long from) {
+        long at = from + Standstill.BEAT;
+        standstill.expect(at);
+        loop.after(Math.max(0, at - now()), () -> beaten(at, false));
+    }
+
+    // Its next one counts from the time that is looked at here: where the thread stands still right behind
+    // that, it is late. Where it stood still between the pass over the sockets and here, it passes again.
+    private void beaten(long at, boolean again) {
+        long now = now();
+        if (standstill.hidesNews(now) && !again) {
+            loop.after(0, () -> beaten(at, true));
+            return;
+        }
+        standstill.came(at);
+        if (standstill.tells(now - at, now)) {
+            log.accept("stood still for " + (now - at) / 1000 + " ms: what came meanwhile lay unread");
+        }
+        beat(now);
     }
 
     private void due(long delay, LongConsumer task) {
--- /dev/null
+++ b/src/main/java/junctionhead/core/ListNews.java
@@ -0,0 +1,30 @@
+package junctionhead.core;
+
+/**
+ * News of the list that may lie unread, because the loop's thread stood still (rule 3): what a carrier asks
+ * before it begins with a request. On the loop.
+ */
+public interface ListNews {
+    /** Of a loop that has no list to hear of. */
+    ListNews NONE = new ListNews() {
+        @Override
+        public boolean mayLieUnread() {
+            return false;
+        }
+
+        @Override
+        public void afterNews(Runnable task) {
+            task.run();
+        }
+    };
+
+    /** Whether the loop has stood still, and not passed over its sockets since. */
+    boolean mayLieUnread();
+
+    /**
+     * Runs {@code task} once news of the list that may lie unread has been read: at once where the loop keeps
+     * up, else behind a whole pass over its sockets. The present pass may have begun before the standstill,
+     * and look at none that became ready since.
+     */
+    void afterNews(Runnable task);
+}
--- a/src/main/java/junctionhead/node/Node.java
+++ b/src/main/java/junctionhead/node/Node.java
@@ -91,8 +91,7 @@
         budget = new Budget(config.connections(), System.nanoTime());
         Policy policy = module.apply(config.boot().settings(), config.seed());
         dispatcher = new Dispatcher(new NettyLoop(loop), Clock.system(), config.boot(), policy, log);
-        upstreams = new Upstreams(loop, config.boot(), budget, dispatcher::now,
-            dispatcher::afterNews);
+        upstreams = new Upstreams(loop, config.boot(), budget, dispatcher::now, dispatcher);
         boolean asked = config.discovery() != null;
         discovery = asked ? new Discovery(loop, config.discovery(), config.boot(), config.known().rev(),
             this::listed, log) : null;
--- a/src/main/java/junctionhead/node/Rehearsal.java
+++ b/src/main/java/junctionhead/node/Rehearsal.java
@@ -19,6 +19,7 @@
 import junctionhead.core.Dispatcher;
 import junctionhead.core.Drill;
 import junctionhead.core.Fields;
+import junctionhead.core.ListNews;
 import junctionhead.core.Membership;
 import junctionhead.core.Order;
 import junctionhead.core.Targets;
@@ -66,8 +67,8 @@
         dispatcher = new Dispatcher(new NettyLoop(loop), Clock.system(), boot, policy, line -> { });
         Budget budget = new Budget(config.connections(), System.nanoTime());
         IdleRest rest = IdleRest.trusting(boot.idleClose());
-        back = new Upstreams(loop, boot, budget, dispatcher::now, Runnable::run, through, rest);
-        front = new Upstreams(loop, boot, budget, dispatcher::now, Runnable::run, through, rest);
+        back = new Upstreams(loop, boot, budget, dispatcher::now, ListNews.NONE, through, rest);
+        front = new Upstreams(loop, boot, budget, dispatcher::now, ListNews.NONE, through, rest);
         dispatcher.attach(back, Membership.NONE);
     }
 
--- a/src/main/java/junctionhead/upstream/Upstreams.java
+++ b/src/main/java/junctionhead/upstream/Upstreams.java
@@ -32,7 +32,6 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import junctionhead.LoadReport;
 import junctionhead.Policy;
 import junctionhead.Policy.Outcome;
@@ -47,6 +46,7 @@
 import junctionhead.core.Clock;
 import junctionhead.core.DrainGrace;
 import junctionhead.core.Fields;
+import junctionhead.core.ListNews;
 import junctionhead.core.Order;
 import junctionhead.core.Stream;
 import junctionhead.core.Targets;
@@ -75,17 +75,17 @@
     private SettingsReader.Boot boot;
     private final Budget budget;
     private final Clock clock;
-    private final Consumer<Runnable> afterNews;
+    private final ListNews news;
     private final Bootstrap bootstrap;
     private final SocketAddress all;                // where every upstream stands, or null
     private IdleRest rest;
     private final Map<String, Upstream> upstreams = new HashMap<>();
     private final Future<?> sweep;
 
-    /** {@code afterNews} runs what it is given once no news of the list lies unread, on the loop. */
+    /** {@code news}: of the list, which comes before what is begun. */
     public Upstreams(EventLoop loop, SettingsReader.Boot boot, Budget budget, Clock clock,
-            Consumer<Runnable> afterNews) {
-        this(loop, boot, budget, clock, afterNews, null, new IdleRest(boot.idleClose()));
+            ListNews news) {
+        this(loop, boot, budget, clock, news, null, new IdleRest(boot.idleClose()));
     }
 
     /**
@@ -93,8 +93,8 @@
      * {@code rest}: how their idle connections rest, until other settings hold.
      */
     public Upstreams(EventLoop loop, SettingsReader.Boot boot, Budget budget, Clock clock,
-            Consumer<Runnable> afterNews, SocketAddress all, IdleRest rest) {
-        this.afterNews = afterNews;
+            ListNews news, SocketAddress all, IdleRest rest) {
+        this.news = news;
         this.all = all;
         this.loop = loop;
         this.boot = boot;
@@ -205,7 +205,7 @@
             call.connection = ready;
             // Behind this pass over the sockets, in which its end may lie; and it may have stood still since
             // the module decided.
-            loop.execute(() -> afterNews.accept(ready::go));
+            loop.execute(() -> news.afterNews(ready::go));
         } else {
             dial(u, call);
         }
@@ -235,7 +235,7 @@
                 connection.finish(Outcome.CONNECT_FAILED, null, null);
                 connection.channel.close();
             } else {
-                afterNews.accept(connection::go);
+                news.afterNews(connection::go);
             }
         });
     }
@@ -415,7 +415,24 @@
                 upload(next);
                 return;
             }
-            sent(next, channel.writeAndFlush(next.message(endpoint)));
+            ChannelFuture last = channel.write(next.message(endpoint));
+            if (leaves()) {
+                sent(next, last);
+            }
+        }
+
+        // What has been made ready leaves now, unless the process stood still meanwhile: then none of it has,
+        // or does, and news of the list comes before all that is begun anew.
+        private boolean leaves() {
+            if (!news.mayLieUnread()) {
+                channel.flush();
+                return true;
+            }
+            Call unbegun = call;
+            call = null;
+            close();
+            start(upstream.id, unbegun);
+            return false;
         }
 
         private void sent(Call next, ChannelFuture last) {
@@ -435,6 +452,9 @@
             Stream rest = next.order.rest();
             Sink sink = new Sink(channel);
             sink.begin(next.message(endpoint), next.order.body());
+            if (!leaves()) {
+                return;
+            }
             rest.to(new Stream.Taker() {
                 @Override
                 public void piece(byte[] bytes) {
--- a/src/test/java/junctionhead/core/DispatcherTest.java
+++ b/src/test/java/junctionhead/core/DispatcherTest.java
@@ -334,6 +334,39 @@
         assertEquals(List.of("request"), policy.seen);
     }
 
+    /** The thread stands still within the beat, before or behind each look at the clock: news lies unread. */
+    @Test
+    void aBeatThatStandsStillItselfHidesNothing() {
+        for (int look = 1; look <= 4; look++) {
+            for (boolean before : new boolean[] {true, false}) {
+                int[] left = {Integer.MAX_VALUE};
+                VirtualLoop still = new VirtualLoop();
+                Dispatcher stands = new Dispatcher(still, () -> {
+                    boolean now = --left[0] == 0;
+                    still.stall(now && before ? 1_300_000 : 0);
+                    long read = still.now();
+                    still.stall(now && !before ? 1_300_000 : 0);
+                    return read;
+                }, boot(), new OneTry(), line -> { });
+                stands.attach(new FakeCarrier(), Membership.NONE);
+                stands.beat();
+                left[0] = look;
+                still.pass(Standstill.BEAT);
+                boolean stood = left[0] <= 0;
+                left[0] = Integer.MAX_VALUE;
+                String where = (before ? "before look " : "behind look ") + look;
+                if (stood) {
+                    assertTrue(stands.mayLieUnread(), where);
+                    still.pass(0);                  // behind passes over the sockets
+                    still.pass(Standstill.BEAT);    // its next one may have been asked for behind it
+                } else {
+                    assertTrue(look > 1, "it looks");
+                }
+                assertFalse(stands.mayLieUnread(), where);
+            }
+        }
+    }
+
     /** The module would count its attempt as out for ever: nobody tells it of one that was never begun. */
     @Test
     void whoeverLeavesBeforeTheModuleHeardOfItIsNotToldToIt() {
--- a/src/test/java/junctionhead/core/VirtualLoop.java
+++ b/src/test/java/junctionhead/core/VirtualLoop.java
@@ -41,6 +41,6 @@
             now = Math.max(now, next.at());
             next.task().run();
         }
-        now = until;
+        now = Math.max(now, until);                 // a task may have stood still
     }
 }
--- /dev/null
+++ b/src/test/java/junctionhead/node/StoodStillTest.java
@@ -0,0 +1,212 @@
+package junctionhead.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import junctionhead.Policy;
+import junctionhead.SettingsReader;
+import junctionhead.connections.Budget;
+import junctionhead.connections.Limits;
+import junctionhead.core.Addresses;
+import junctionhead.core.Fields;
+import junctionhead.core.ListNews;
+import junctionhead.core.Order;
+import junctionhead.core.Stream;
+import junctionhead.core.Targets;
+import junctionhead.upstream.Upstreams;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** The thread stands still for longer than a drain's grace, right before a request that is ready leaves. */
+@Timeout(60)
+class StoodStillTest {
+    private static final long GRACE = 1_000_000;
+    private static final byte[] BODY = "abcdefgh".getBytes(StandardCharsets.US_ASCII);
+
+    private enum Way { DIALLED, RESTED, UPLOAD }
+
+    /** What is looked at before a request leaves: the first time, time has passed meanwhile. */
+    private final class StandsStillOnce implements ListNews {
+        private Runnable meanwhile;
+
+        @Override
+        public boolean mayLieUnread() {
+            Runnable now = meanwhile;
+            meanwhile = null;
+            if (now != null) {
+                now.run();
+            }
+            return now != null;
+        }
+
+        @Override
+        public void afterNews(Runnable task) {
+            task.run();
+        }
+    }
+
+    /** The rest of a long body, whose first bytes are with the order. */
+    private static final class Rest implements Stream {
+        private boolean started;
+
+        @Override
+        public boolean started() {
+            return started;
+        }
+
+        @Override
+        public void to(Taker taker) {
+            assertTrue(!started, "it was handed over before");
+            started = true;
+            taker.piece(BODY);
+            taker.ended();
+        }
+
+        @Override
+        public void pull(boolean room) { }
+
+        @Override
+        public void drop() { }
+    }
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final StandsStillOnce news = new StandsStillOnce();
+    private final BlockingQueue<Policy.Outcome> ends = new LinkedBlockingQueue<>();
+    private final List<Rest> rests = new ArrayList<>();
+    private FakeUpstream upstream;
+    private Upstreams upstreams;
+    private long stoodFor;                          // µs, on top of the system's clock; of the loop
+
+    private static SettingsReader.Boot boot() {
+        Map<String, String> values = new HashMap<>(Map.of("Balancers", "1", "Quantum", "1000",
+            "MembershipMode", "push", "Classes.count", "1", "Classes.0.Name", "c", "Classes.0.Idempotency",
+            "unsafe", "Classes.0.GoalTime", "200000", "Classes.0.GiveUp", "20000000", "Classes.0.Gain", "4",
+            "Classes.0.LateShare", "0.25"));
+        values.putAll(Map.of("Limits.TryLimit", "3", "Limits.MayDuplicate", "true", "Limits.Cancel", "true",
+            "Limits.Probes", "false", "Rules.AnswerSlack", "8000", "Rules.DrainGrace", Long.toString(GRACE),
+            "Rules.ColdFrom", "0.3", "Rules.RampTime", "1", "Rules.OverloadFactor", "3", "Rules.Fall", "1"));
+        return SettingsReader.read(values, (path, what) -> new IllegalArgumentException(path + what));
+    }
+
+    private long now() {
+        return TimeUnit.NANOSECONDS.toMicros(System.nanoTime()) + stoodFor;
+    }
+
+    @BeforeEach
+    void open() throws IOException, InterruptedException {
+        upstream = new FakeUpstream();
+        onLoop(() -> {
+            upstreams = new Upstreams(group.next(), boot(), new Budget(Limits.of(1024), System.nanoTime()),
+                this::now, news);
+            listed(1, Policy.State.UP, now());
+        });
+    }
+
+    @AfterEach
+    void close() throws IOException, InterruptedException {
+        onLoop(upstreams::close);
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        upstream.close();
+    }
+
+    private void onLoop(Runnable task) throws InterruptedException {
+        group.next().submit(task).sync();
+    }
+
+    private void listed(long rev, Policy.State state, long at) {
+        upstreams.listed(new Targets(rev, true, List.of(new Targets.Target(
+            new Policy.Server("s1", state, 0, 1, 0, 0, 0), Addresses.parse(upstream.address())))), at);
+    }
+
+    private void send(String id, long before, boolean upload) throws InterruptedException {
+        Order order = new Order(id, "POST", "/" + id, Fields.NONE, BODY, 0, 0, null, 20_000_000, -1, false);
+        onLoop(() -> {
+            rests.add(new Rest());
+            upstreams.send("s1", upload ? order.passing(rests.get(rests.size() - 1), 2 * BODY.length) : order,
+                10_000_000, before == 0 ? Long.MAX_VALUE : now() + before,
+                (outcome, answer, load) -> ends.add(outcome));
+        });
+    }
+
+    private Policy.Outcome end() throws InterruptedException {
+        return ends.poll(30, TimeUnit.SECONDS);
+    }
+
+    // A connection that has been used, where one is to be, and has rested for long enough to be used again.
+    private void ready(Way way) throws IOException, InterruptedException {
+        if (way == Way.RESTED) {
+            send("before", 0, false);
+            upstream.next().answer(200, "", "ok");
+            assertEquals(Policy.Outcome.OK, end());
+            boolean[] connected = new boolean[1];
+            while (!connected[0]) {
+                onLoop(() -> connected[0] = upstreams.connected("s1"));
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void nothingLeavesForAnUpstreamWhoseDrainLiesUnread(Way way) throws IOException, InterruptedException {
+        ready(way);
+        onLoop(() -> news.meanwhile = () -> {
+            long told = now();
+            stoodFor += GRACE + 300_000;
+            group.next().execute(() -> listed(2, Policy.State.DRAINING, told));
+        });
+        send("late", 0, way == Way.UPLOAD);
+        Policy.Outcome end = end();
+        assertTrue(end.neverRan(), end::toString);
+        assertNothingCame();
+        assertTrue(rests.stream().noneMatch(Rest::started));
+    }
+
+    // What has been written to a connection has come before one that is opened behind it is served.
+    private void assertNothingCame() throws IOException, InterruptedException {
+        onLoop(() -> listed(3, Policy.State.UP, now()));
+        send("after", 0, false);
+        FakeUpstream.Got got = upstream.next();
+        assertEquals("POST /after HTTP/1.1", got.line());
+        got.answer(200, "", "ok");
+        assertEquals(Policy.Outcome.OK, end());
+        assertTrue(upstream.isEmpty());
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void itGoesOnceWhereNothingHasChanged(Way way) throws IOException, InterruptedException {
+        ready(way);
+        onLoop(() -> news.meanwhile = () -> stoodFor += GRACE + 300_000);
+        send("once", 0, way == Way.UPLOAD);
+        FakeUpstream.Got got = upstream.next();
+        assertEquals("POST /once HTTP/1.1", got.line());
+        assertEquals(way == Way.UPLOAD ? 2 * BODY.length : BODY.length, got.body().length);
+        got.answer(200, "", "ok");
+        assertEquals(Policy.Outcome.OK, end());
+        assertNothingCame();
+    }
+
+    @Test
+    void itIsNotSentOnceItsTimeIsOver() throws IOException, InterruptedException {
+        onLoop(() -> news.meanwhile = () -> stoodFor += GRACE);
+        send("late", GRACE / 2, false);
+        assertEquals(Policy.Outcome.NOT_SENT, end());
+        assertNothingCame();
+    }
+}
