Behind a standstill room for newcomers is made once kept connections are read

Seen over sockets: a loop that stands still for 0.4 s with 3 kept and 3 held requests of 20 descriptors closes two kept ones at its first accept, before it has read them, 3 of 3 times.

ClientServer.makeRoom waits for a pass over the sockets where news may lie unread and no room is left; the listener is not read meanwhile.

ConnectionsTest: red without 3 of 3, green 3 of 3.

--- a/src/main/java/junctionhead/front/http1/ClientServer.java
+++ b/src/main/java/junctionhead/front/http1/ClientServer.java
@@ -69,6 +69,7 @@
     private boolean shared;                         // the listener is not this process's own
     private boolean winding;                        // some at rest are about to be closed
     private boolean makingRoom;
+    private boolean waking;                         // room is made once all sockets have been looked at
     private int strangers;                          // taken in during a rehearsal since the last look
     private boolean again;                          // room will be looked for again soon
     private long comers;                            // connections so far
@@ -272,9 +273,19 @@
 
     // Makes room before an accept can fail; where the budget names none to go, new ones wait in the backlog.
     private void makeRoom() {
-        if (makingRoom) {
+        if (makingRoom || waking) {
             return;                                 // what it closes tells of its end here
         }
+        if (dispatcher.mayLieUnread() && !budget.admits(Side.CLIENT, System.nanoTime())) {
+            // Of those that seem to rest some hold a request that has not been read.
+            waking = true;
+            listener.config().setAutoRead(false);
+            dispatcher.afterNews(() -> {
+                waking = false;
+                makeRoom();
+            });
+            return;
+        }
         makingRoom = true;
         boolean room = budget.makeRoom(Side.CLIENT, System.nanoTime());
         makingRoom = false;
--- a/src/test/java/junctionhead/node/ConnectionsTest.java
+++ b/src/test/java/junctionhead/node/ConnectionsTest.java
@@ -6,12 +6,16 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** What clients see of the budget of connections, over sockets: 32 in all where 64 descriptors are told. */
 class ConnectionsTest extends NodeFixture {
@@ -72,6 +76,73 @@
         }
     }
 
+    /** The loop stands still with no room left while all that it keeps ask again, and others come anew. */
+    @Test
+    @Timeout(120)
+    void behindAStandstillNoRequestOfAKeptConnectionIsCutOff() throws IOException, InterruptedException {
+        start(Map.of(), 20);
+        CountDownLatch goesOn = new CountDownLatch(1);
+        List<Client> kept = fill(0);
+        CountDownLatch blocked = block(goesOn);
+        blocked.await(20, TimeUnit.SECONDS);
+        kept.removeIf(ConnectionsTest::hasEnded);   // of a rest that was over before, on a slow machine
+        assertFalse(kept.isEmpty(), "some are kept");
+        for (int i = 0; i < 32; i++) {
+            client().send(READY);                   // the machine accepts them
+        }
+        for (Client client : kept) {
+            client.send(READY);
+        }
+        TimeUnit.MILLISECONDS.sleep(400);           // the time itself is what has to pass
+        goesOn.countDown();
+        for (Client client : kept) {
+            client.socket.setSoTimeout(20_000);
+            String head = client.answer();
+            assertTrue(head != null && head.startsWith("HTTP/1.1 200"), kept.size() + " kept: " + head);
+        }
+    }
+
+    private CountDownLatch block(CountDownLatch goesOn) {
+        CountDownLatch blocked = new CountDownLatch(1);
+        onLoop(() -> {
+            blocked.countDown();
+            try {
+                goesOn.await(20, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        return blocked;
+    }
+
+    // As many as stay, and requests that are held: one comer more, and no room is left.
+    private List<Client> fill(int tries) throws IOException, InterruptedException {
+        List<Client> kept = new ArrayList<>();
+        Client next = client();
+        while (!ends(next.send(READY).answer())) {
+            kept.add(next);
+            next = client();
+        }
+        next.close();
+        for (int i = 0; i < 3 && tries == 0; i++) {
+            client().send(SAFE.replace("r1", "h" + i));
+            upstream.next();
+        }
+        kept.removeIf(ConnectionsTest::hasEnded);
+        return kept.isEmpty() && tries < 20 ? fill(tries + 1) : kept;
+    }
+
+    private static boolean hasEnded(Client client) {
+        try {
+            client.socket.setSoTimeout(1);
+            return client.in.read() < 0;
+        } catch (SocketTimeoutException e) {
+            return false;                           // nothing came
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
     /** What has been read is answered, also where its connection would end; the end is told with the last. */
     @Test
     void requestsSentAheadAreAnsweredBeforeTheirConnectionEnds() throws IOException, InterruptedException {
