--- a/src/main/java/junctionhead/upstream/AttemptRules.java
+++ b/src/main/java/junctionhead/upstream/AttemptRules.java
@@ -31,6 +31,15 @@
         return !written && answered == Outcome.OK;
     }
 
+    /**
+     * Whether an attempt whose connection ends goes on over another one, and is still the same attempt: its
+     * upstream ended a connection at rest, as it may at any time, and has seen nothing of the request. One
+     * that was dialled for it and never stood is a failure to be told.
+     */
+    static boolean goesOver(boolean rested, boolean begun) {
+        return rested && !begun;
+    }
+
     /** How an attempt ends whose connection breaks: the line is the request's last byte. */
     static Outcome broken(boolean written) {
         return written ? Outcome.RESET : Outcome.CONNECT_FAILED;
--- a/src/main/java/junctionhead/upstream/Upstreams.java
+++ b/src/main/java/junctionhead/upstream/Upstreams.java
@@ -575,8 +575,8 @@
             budget.closed(lease, System.nanoTime());
             upstream.idle.remove(this);
             reader.ended();
-            if (call != null && rested && !begun) {
-                Call unbegun = call;                // its upstream has ended it at rest, and has seen nothing
+            if (call != null && AttemptRules.goesOver(rested, begun)) {
+                Call unbegun = call;
                 call = null;
                 start(upstream.id, unbegun);
             } else {
--- a/src/test/java/junctionhead/upstream/AttemptRulesTest.java
+++ b/src/test/java/junctionhead/upstream/AttemptRulesTest.java
@@ -28,4 +28,11 @@
         assertFalse(AttemptRules.isForged(Outcome.OK, true));
         assertFalse(AttemptRules.isForged(Outcome.FULL, false), "an early refusal is one");
     }
+
+    @Test
+    void whatAnUpstreamEndsAtRestIsGoneOverAndWhatItMayHaveSeenIsNot() {
+        assertTrue(AttemptRules.goesOver(true, false));
+        assertFalse(AttemptRules.goesOver(true, true), "it may have some of it");
+        assertFalse(AttemptRules.goesOver(false, false), "it has never stood: that upstream does not answer");
+    }
 }
