Rig: a fleet of processes under uneven load, with troubles by a seeded script

`fleet run FILE`: a scenario with [fleet] and [[trouble]]; Shares, Spread and Trouble decide without I/O. Load deals orders to places that may move; what is without an answer because its balancer was killed or stalled by the script counts as lost.

--- a/src/rig/java/junctionhead/rig/BalancerToml.java
+++ b/src/rig/java/junctionhead/rig/BalancerToml.java
@@ -11,14 +11,21 @@
     private BalancerToml() { }
 
     static String of(Scenario s, InetSocketAddress discovery) {
+        return of(s, discovery, "rig", 0, 1);
+    }
+
+    /** One of so many, by its place among them. */
+    static String of(Scenario s, InetSocketAddress discovery, String name, int rank, int balancers) {
         StringBuilder out = new StringBuilder();
         List<String> zones = s.boxes().stream().map(Scenario.Boxes::zone).distinct().sorted().toList();
         List<String> models = s.boxes().stream().map(Scenario.Boxes::model).distinct().toList();
         line(out, "[node]");
-        line(out, "name = \"rig\"");
+        line(out, "name = \"" + name + "\"");
         line(out, "listen = \"127.0.0.1:0\"");
         line(out, "management = \"127.0.0.1:0\"");
-        line(out, "seed = " + s.seed());
+        line(out, "seed = " + (s.seed() + rank));
+        line(out, "balancers = " + balancers);
+        line(out, "rank = " + rank);
         line(out, "zone = \"" + zones.get(0) + "\"");
         line(out, "[membership]");
         line(out, "source = \"discovery\"");
--- a/src/rig/java/junctionhead/rig/Fleet.java
+++ b/src/rig/java/junctionhead/rig/Fleet.java
@@ -132,6 +132,16 @@
         return all;
     }
 
+    /** Connections that boxes have been opened so far; on the loop. */
+    long connections() {
+        return boxes.stream().mapToLong(StandInBox::opened).sum();
+    }
+
+    /** What each can do, beside the others, in the order of {@link #standings}. */
+    double[] weights() {
+        return boxes.stream().mapToDouble(b -> b.kind().cores() * b.kind().speed()).toArray();
+    }
+
     /** How many watches discovery holds; on the loop. */
     int watches() {
         return discovery.watches();
--- /dev/null
+++ b/src/rig/java/junctionhead/rig/FleetPlan.java
@@ -0,0 +1,14 @@
+package junctionhead.rig;
+
+import java.util.List;
+import junctionhead.rig.fleet.Trouble;
+
+/**
+ * A run of many balancers before the boxes of a scenario, whose rate is that of the whole fleet. No I/O.
+ *
+ * @param wave processes that are started at once; the next ones when these are ready
+ * @param uneven of the logarithm of what a balancer gets
+ * @param settle µs between the last one's readiness and the load
+ */
+record FleetPlan(Scenario scenario, int processes, int wave, double uneven, long settle,
+        List<Trouble> troubles) { }
--- a/src/rig/java/junctionhead/rig/Ledger.java
+++ b/src/rig/java/junctionhead/rig/Ledger.java
@@ -13,7 +13,11 @@
  */
 final class Ledger {
     /** What a client got. */
-    enum Final { SERVED, REFUSED, FAILED, NOT_TAKEN, NONE }
+    enum Final {
+        SERVED, REFUSED, FAILED, NOT_TAKEN, NONE,
+        /** None, because its balancer was killed, or stood still for its time, by the run's own script. */
+        LOST
+    }
 
     /** What goes against the rules. */
     enum Breach { BOOKED_TWICE, REFUSED_AFTER_IT_RAN, UNANSWERED, ANSWERED_TWICE, SERVED_UNBOOKED,
--- a/src/rig/java/junctionhead/rig/Load.java
+++ b/src/rig/java/junctionhead/rig/Load.java
@@ -27,6 +27,7 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntUnaryOperator;
 import junctionhead.Policy;
 import junctionhead.core.Clock;
 import junctionhead.rig.Ledger.Final;
@@ -50,7 +51,9 @@
     private final Clock clock;
     private final Ledger ledger;
     private final Tallies tallies;
-    private final List<InetSocketAddress> to;
+    private final List<InetSocketAddress> to;       // null: nobody asks there for now
+    private final IntUnaryOperator dealt;           // the place among these of an order, by its number
+    private final long[] brokenUntil;               // what is there is dead or stands still, or was
     private final List<ArrayDeque<Connection>> idle = new ArrayList<>();
     private final ArrayDeque<Asking> waiting = new ArrayDeque<>();
     private final Set<Connection> connections = new HashSet<>();
@@ -63,13 +66,20 @@
 
     Load(Scenario scenario, List<Script.Order> script, EventLoop loop, Clock clock, Ledger ledger,
             Tallies tallies, List<InetSocketAddress> to) {
+        this(scenario, script, loop, clock, ledger, tallies, to, order -> order % to.size());
+    }
+
+    Load(Scenario scenario, List<Script.Order> script, EventLoop loop, Clock clock, Ledger ledger,
+            Tallies tallies, List<InetSocketAddress> to, IntUnaryOperator dealt) {
+        this.dealt = dealt;
+        this.brokenUntil = new long[to.size()];
         this.scenario = scenario;
         this.script = script;
         this.loop = loop;
         this.clock = clock;
         this.ledger = ledger;
         this.tallies = tallies;
-        this.to = List.copyOf(to);
+        this.to = new ArrayList<>(to);
         to.forEach(t -> idle.add(new ArrayDeque<>()));
     }
 
@@ -87,6 +97,16 @@
         http3 = clients;
     }
 
+    /** That place is another address from here on; null: nobody asks there. */
+    void moved(int place, InetSocketAddress address) {
+        loop.execute(() -> to.set(place, address));
+    }
+
+    /** What is there is killed or stalled, or goes on: no answer in between is not its fault. */
+    void broken(int place, boolean on) {
+        loop.execute(() -> brokenUntil[place] = on ? Long.MAX_VALUE : clock.now());
+    }
+
     /** Asks nothing more; what is open goes on to its end. */
     void stop() {
         loop.execute(() -> {
@@ -129,7 +149,15 @@
             http3.ask(asking);
             return;
         }
-        int target = asking.order.number() % to.size();
+        int target = dealt.applyAsInt(asking.order.number());
+        for (int i = 0; to.get(target) == null && i < to.size(); i++) {
+            target = (target + 1) % to.size();      // clients know of those that are away
+        }
+        if (to.get(target) == null) {
+            asking.end(Final.NOT_TAKEN);
+            return;
+        }
+        asking.target = target;
         Connection connection = idle.get(target).pollLast();
         if (connection != null && connection.channel.isActive()) {
             connection.reused = true;
@@ -169,6 +197,7 @@
         final Scenario.Kind kind;
         boolean again;
         boolean over;
+        int target;
         Future<?> patience;
 
         Asking(Script.Order order) {
@@ -249,10 +278,11 @@
                 patience.cancel(false);
             }
             long latency = clock.now() - due();
-            if (how != Final.NOT_TAKEN) {
-                ledger.answered(order.id(), how, clock.now());
+            Final told = how == Final.NONE && brokenUntil[target] >= due() ? Final.LOST : how;
+            if (told != Final.NOT_TAKEN) {
+                ledger.answered(order.id(), told, clock.now());
             }
-            tallies.ended(order.kind(), order.work(), how, latency);
+            tallies.ended(order.kind(), order.work(), told, latency);
             open--;
             Load.this.ended();
         }
--- a/src/rig/java/junctionhead/rig/ScenarioReader.java
+++ b/src/rig/java/junctionhead/rig/ScenarioReader.java
@@ -10,12 +10,14 @@
 import junctionhead.config.toml.Problems;
 import junctionhead.config.toml.Table;
 import junctionhead.rig.Scenario.What;
+import junctionhead.rig.fleet.Trouble;
 import org.tomlj.Toml;
 import org.tomlj.TomlParseResult;
 
 /** Reads scenarios from TOML and tells of every problem at once, each with its place. */
 final class ScenarioReader {
     private static final double COUNT_MOST = 10_000;
+    private static final int PROCESSES_MOST = 300;  // of some 70 MB each
 
     private ScenarioReader() { }
 
@@ -36,6 +38,29 @@
         return scenario;
     }
 
+    /** A fleet's plan: a scenario with [fleet] and [[trouble]] besides. */
+    static FleetPlan fleet(Path file) throws IOException, Problems.Bad {
+        return fleet(Toml.parse(file), new Problems(file.toString()));
+    }
+
+    static FleetPlan fleet(String name, String text) throws Problems.Bad {
+        return fleet(Toml.parse(text), new Problems(name));
+    }
+
+    private static FleetPlan fleet(TomlParseResult toml, Problems problems) throws Problems.Bad {
+        Table top = Table.of(toml, problems);
+        problems.check();
+        FleetPlan plan = top.table("fleet").map(t -> new FleetPlan(null,
+            (int) t.number("processes", null, 1, PROCESSES_MOST),
+            (int) t.number("wave", 12, 1, PROCESSES_MOST), t.number("uneven", 0, 0, 3),
+            t.time("settle", "2s"), List.of())).get(0);
+        List<Trouble> troubles = top.optional("trouble").map(t -> new Trouble(t.time("at", null),
+            t.word("what", Trouble.What.class), t.number("share", 0.1, 0.0001, 1), t.time("lasting", "2s")));
+        Scenario scenario = scenario(top);
+        problems.check();
+        return new FleetPlan(scenario, plan.processes(), plan.wave(), plan.uneven(), plan.settle(), troubles);
+    }
+
     private static Scenario scenario(Table top) {
         String name = top.text("name", "scenario");
         long seed = (long) top.number("seed", 1, 0, 1e15);
--- a/src/rig/java/junctionhead/rig/StandInBox.java
+++ b/src/rig/java/junctionhead/rig/StandInBox.java
@@ -66,6 +66,7 @@
     private double errors;
     private double fastErrors;
     private double resets;
+    private long opened;
     private long served;
     private long declined;
     private long falls;
@@ -127,6 +128,7 @@
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
+                    opened++;
                     Connection connection = new Connection(channel);
                     connections.add(connection);
                     channel.pipeline().addLast(new HttpServerCodec(), connection.first(),
@@ -223,6 +225,11 @@
         return model.warmth(clock.now());
     }
 
+    /** Connections over HTTP/1.1 that have come so far. */
+    long opened() {
+        return opened;
+    }
+
     long served() {
         return served;
     }
--- a/src/rig/java/junctionhead/rig/Standstills.java
+++ b/src/rig/java/junctionhead/rig/Standstills.java
@@ -177,14 +177,7 @@
 
     private void ready() throws InterruptedException {
         for (Member member : members) {
-            int status = 0;
-            while (status != 200) {
-                Wire asks = new Wire();
-                status = asks.open(member.address())
-                    && asks.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n") ? asks.answer().status() : 0;
-                asks.close();
-                Thread.sleep(status == 200 ? 0 : 20);
-            }
+            member.awaitReady();
         }
         while (onLoop(boxes::watches) < members.size()) {
             Thread.sleep(20);
--- a/src/rig/java/junctionhead/rig/fleet/Member.java
+++ b/src/rig/java/junctionhead/rig/fleet/Member.java
@@ -111,6 +111,29 @@
         return Addresses.parse(line.substring(line.indexOf(words) + words.length()).strip());
     }
 
+    /** Waits until it says that it is ready; throws IllegalStateException where it does not. */
+    public void awaitReady() throws InterruptedException {
+        InetSocketAddress at = address();
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        for (int status = 0; status != 200;) {
+            try (Wire asks = new Wire()) {
+                status = asks.open(at) && asks.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                    ? asks.answer().status() : 0;
+            }
+            if (status != 200 && System.nanoTime() > until) {
+                synchronized (this) {
+                    throw new IllegalStateException("it does not get ready: " + last());
+                }
+            }
+            Thread.sleep(status == 200 ? 0 : 20);
+        }
+    }
+
+    /** Processor time that it has used so far, in µs; 0 where it has ended. */
+    public long cpuMicros() {
+        return process.toHandle().info().totalCpuDuration().map(d -> d.toNanos() / 1_000).orElse(0L);
+    }
+
     /** Replaces its file; it reads it at the next {@link Signal#HUP}. */
     public void rewrite(String toml) throws IOException {
         Files.writeString(file, toml);
--- a/src/test/java/junctionhead/HouseTest.java
+++ b/src/test/java/junctionhead/HouseTest.java
@@ -51,6 +51,9 @@
             .haveFullyQualifiedName("junctionhead.core.Standstill").or()
             .haveNameMatching("junctionhead\\.membership\\.(Versions|Silence)(\\$.*)?").or().haveNameMatching(
                 "junctionhead\\.rig\\.(Ledger|BoxModel|Cell|Script|Report|Scenario|Tallies)(\\$.*)?")
+            .or().haveFullyQualifiedName("junctionhead.rig.FleetPlan")
+            .or().haveNameMatching("junctionhead\\.rig\\.fleet\\.(Shares|Spread|Trouble)(\\$.*)?")
+            .or().haveFullyQualifiedName("junctionhead.upstream.AttemptRules")
             .should().dependOnClassesThat().resideInAnyPackage(IO)
             .orShould().callMethod(System.class, "nanoTime")
             .orShould().callMethod(System.class, "currentTimeMillis")
--- /dev/null
+++ b/src/test/java/junctionhead/rig/fleet/SpreadTest.java
@@ -0,0 +1,84 @@
+package junctionhead.rig.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** How load is dealt to a fleet, how its evenness is told, and whom troubles strike. */
+class SpreadTest {
+    private static final double[] EQUAL = {1, 1, 1, 1};
+
+    @Test
+    void whatIsByWeightIsEvenAndHasNothingBeyondChance() {
+        Spread even = Spread.of(new long[] {100, 100, 200, 400}, new double[] {1, 1, 2, 4});
+        assertEquals(0, even.deviation(), 1e-9);
+        assertEquals(0, even.beyond(), 1e-9);
+        assertEquals(1, even.least(), 1e-9);
+        assertEquals(1, even.most(), 1e-9);
+    }
+
+    @Test
+    void oneThatGetsNothingAndOneThatGetsDoubleAreTold() {
+        Spread spread = Spread.of(new long[] {0, 200, 100, 100}, EQUAL);
+        assertEquals(Math.sqrt(0.5), spread.deviation(), 1e-9);
+        assertEquals(Math.sqrt(0.0075), spread.chance(), 1e-9);
+        assertEquals(Math.sqrt(0.5 - 0.0075), spread.beyond(), 1e-9);
+        assertEquals(0, spread.least());
+        assertEquals(2, spread.most());
+        assertEquals(1, spread.idle());
+        assertEquals(4, Spread.of(new long[4], EQUAL).idle(), "nothing was asked");
+        assertThrows(IllegalArgumentException.class, () -> Spread.of(new long[3], EQUAL));
+    }
+
+    /** What is drawn has the deviation that chance alone gives. */
+    @Test
+    void chanceAloneIsToldAsChance() {
+        SplittableRandom random = new SplittableRandom(4);
+        double[] weights = new double[400];
+        long[] got = new long[400];
+        for (int i = 0; i < weights.length; i++) {
+            weights[i] = 1 + i % 2;
+        }
+        for (int i = 0; i < 12_000; i++) {
+            int drawn = random.nextInt(600);
+            got[drawn < 200 ? 2 * drawn : (drawn - 200) / 2 * 2 + 1]++;
+        }
+        Spread spread = Spread.of(got, weights);
+        assertEquals(1, spread.deviation() / spread.chance(), 0.1);
+    }
+
+    @Test
+    void sharesAddUpAndOrdersFollowThem() {
+        Shares shares = Shares.of(50, 0.8, 3);
+        double all = 0;
+        double most = 0;
+        int[] got = new int[50];
+        for (int i = 0; i < 100_000; i++) {
+            got[shares.balancer(i / 100_000.0)]++;
+        }
+        for (int i = 0; i < 50; i++) {
+            all += shares.of(i);
+            most = Math.max(most, shares.of(i));
+            assertEquals(shares.of(i), got[i] / 1e5, 2e-5);
+        }
+        assertEquals(1, all, 1e-9);
+        assertTrue(most > 0.04, "uneven: " + most);
+        assertEquals(0.1, Shares.of(10, 0, 3).of(7), 1e-9, "even");
+        assertEquals(9, Shares.of(10, 0, 3).balancer(Math.nextDown(1.0)));
+        assertThrows(IllegalArgumentException.class, () -> Shares.of(0, 1, 1));
+    }
+
+    @Test
+    void aTroubleStrikesAsManyAsItSaysAndTheSameForTheSameSeed() {
+        Trouble kill = new Trouble(1_000, Trouble.What.KILL, 0.7, 1_000);
+        List<Integer> struck = kill.struck(100, 5);
+        assertEquals(70, struck.stream().distinct().count());
+        assertEquals(struck, kill.struck(100, 5));
+        assertTrue(!struck.equals(kill.struck(100, 6)), "drawn by the seed");
+        assertEquals(1, new Trouble(0, Trouble.What.STALL, 0.001, 1).struck(3, 1).size(), "one at least");
+    }
+}
