--- a/src/rig/java/junctionhead/rig/UdpRelay.java
+++ b/src/rig/java/junctionhead/rig/UdpRelay.java
@@ -13,6 +13,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
  * A path over loopback between clients and one UDP server, as a {@link RelayScript} says. Each client has an
@@ -23,6 +24,7 @@
     /** Which way of the path is dead. */
     public enum Hole { NONE, TO_SERVER, TO_CLIENT }
 
+    private final AtomicBoolean closed = new AtomicBoolean();
     private final EventLoop loop;
     private final InetSocketAddress server;
     private final RelayScript script;
@@ -94,8 +96,12 @@
         return loop.submit(() -> new long[] {relayed, rebinds}).syncUninterruptibly().getNow();
     }
 
+    /** Does nothing the second time, when its loop may have ended. */
     @Override
     public void close() {
+        if (closed.getAndSet(true)) {
+            return;
+        }
         loop.submit(() -> {
             clients.values().forEach(c -> c.socket.close());
             if (front != null) {
