A busy balancer that has just started uses as many servers as it needs

Cause: Balance.subset goes by the balancer's own rate, a count that fades with 10 s divided by these 10 s, so a tenth of the rate 1 s after a start: six servers for 30 requests a second.

The rate is the mean over the time since the first request, of a third of the fading time at least. With 1 s in place of that third LearnedTest (a subset of six at the first sixteen requests) failed: a burst is no rate, and handshakes would overrun servers at a start.

--- a/src/main/java/junctionhead/Balance.java
+++ b/src/main/java/junctionhead/Balance.java
@@ -34,6 +34,7 @@
     private static final int D = 4;
     private static final int A = 2;
     private static final double FADE = 10e6;            // µs, time constant of all decaying counts
+    private static final double RATE_LEAST = FADE / 3;  // in which what came at a start may be a burst
     private static final double QUICK = 2e6;            // µs, the same for the rate of answers
     private static final double STALE = 2;              // usual latencies, time constant of trust in a report
     private static final double SLOW_SMOOTH = 0.25;     // weight of one answer in a server's slowness
@@ -130,6 +131,7 @@
     private long strainAt;
     private double turnedAway;                          // faded attempts that no server took
     private double arrivals;
+    private long firstAt;                               // when the first of them came
     private double retryBudget = BUDGET_MOST;
     private long fadedAt;
     private double scale = 1;                           // of servers' counts: it grows, they don't fade
@@ -268,8 +270,9 @@
     private List<Node> candidates(Request r, long now) {
         List<Node> fresh = new ArrayList<>();
         List<Node> tried = new ArrayList<>();
-        boolean keyed = r.key != 0 && walksByKey();
-        int wanted = keyed ? (int) Math.max(KEY_SUBSET, KEY_SPREAD * heat(r.key) * listed.size()) : subset();
+        boolean keyed = r.key != 0 && walksByKey(now);
+        int wanted = keyed ? (int) Math.max(KEY_SUBSET, KEY_SPREAD * heat(r.key) * listed.size())
+            : subset(now);
         Node[] order = homeRing;
         int from = 0;
         if (keyed) {
@@ -300,13 +303,19 @@
         return fresh.isEmpty() ? tried : fresh;
     }
 
-    private int subset() {
+    private int subset(long now) {
         double visits = settings.prices().handshake() > 0 ? DEAR_VISITS : SUBSET_VISITS;
-        return (int) Math.max(SUBSET, arrivals / FADE * 1e6 * visits);
+        return (int) Math.max(SUBSET, rate(now) * visits);
     }
 
-    private boolean walksByKey() {
-        return settings.warmKeys() && arrivals / FADE * 1e6 * SUBSET_VISITS >= listed.size();
+    private boolean walksByKey(long now) {
+        return settings.warmKeys() && rate(now) * SUBSET_VISITS >= listed.size();
+    }
+
+    // Requests a second that clients bring: a mean of the time since the first one, where that is short.
+    // Guards against a busy balancer that has just started, and refuses at the few servers of an idle one.
+    private double rate(long now) {
+        return arrivals / FADE * 1e6 / -Math.expm1(-Math.max(RATE_LEAST, now - firstAt) / FADE);
     }
 
     private boolean staysNear() {
@@ -432,8 +441,8 @@
         double used = 0;
         double warm = 0;
         double met = 0;
-        int subset = subset();
-        boolean all = walksByKey();
+        int subset = subset(now);
+        boolean all = walksByKey(now);
         for (Node n : homeRing) {
             n.ours = !all && warm < subset && met < REACH * subset;
             if (warmth(n, now) >= 1) {
@@ -470,6 +479,7 @@
         if (settings.warmKeys() && key != null && !resubmission) {
             keyCounts.merge(Hashing.hash(key), scale, Double::sum);
         }
+        firstAt = arrivals == 0 ? now : firstAt;
         arrivals += resubmission ? 0 : 1;
         brought[tenant] += resubmission ? 0 : 1;
         long aim = kind.aim() + (work > 0 ? (long) (kind.aimStretch() * work) : 0);
--- a/src/test/java/junctionhead/FleetModel.java
+++ b/src/test/java/junctionhead/FleetModel.java
@@ -73,6 +73,7 @@
     final int[] inTime;
     final int[] refused;
     double worstCold;           // most sent to a cold server in a fall window, in parts of what rule 4 allows
+    double worstFall;           // the same, in parts of what fells it: n + 3 * root of n + 3 of n allowed
     int coldSends;
     int opened;                 // connections to servers, of all balancers
     long now = Harness.START;
@@ -195,6 +196,7 @@
             double allowed = settings.bounds().overloadFactor() * settings.bounds().fallWindow() / work
                 * box.speed * box.server.weight() * warmth(box);
             worstCold = Math.max(worstCold, box.sends.size() / allowed);
+            worstFall = Math.max(worstFall, box.sends.size() / (allowed + 3 * Math.sqrt(allowed) + 3));
             coldSends++;
         }
     }
