--- a/src/test/java/junctionhead/node/ConnectionsTest.java
+++ b/src/test/java/junctionhead/node/ConnectionsTest.java
@@ -83,8 +83,7 @@
         start(Map.of(), 20);
         CountDownLatch goesOn = new CountDownLatch(1);
         List<Client> kept = fill(0);
-        CountDownLatch blocked = block(goesOn);
-        blocked.await(20, TimeUnit.SECONDS);
+        block(goesOn);
         kept.removeIf(ConnectionsTest::hasEnded);   // of a rest that was over before, on a slow machine
         assertFalse(kept.isEmpty(), "some are kept");
         for (int i = 0; i < 32; i++) {
@@ -102,19 +101,6 @@
         }
     }
 
-    private CountDownLatch block(CountDownLatch goesOn) {
-        CountDownLatch blocked = new CountDownLatch(1);
-        onLoop(() -> {
-            blocked.countDown();
-            try {
-                goesOn.await(20, TimeUnit.SECONDS);
-            } catch (InterruptedException e) {
-                throw new IllegalStateException(e);
-            }
-        });
-        return blocked;
-    }
-
     // As many as stay, and requests that are held: one comer more, and no room is left.
     private List<Client> fill(int tries) throws IOException, InterruptedException {
         List<Client> kept = new ArrayList<>();
--- a/src/test/java/junctionhead/node/CrossingsTest.java
+++ b/src/test/java/junctionhead/node/CrossingsTest.java
@@ -335,17 +335,8 @@
             assertEquals(200, client.status());
             assertEquals("OK closed", module.next());
             awaitRested("s1");
-            CountDownLatch blocked = new CountDownLatch(1);
             CountDownLatch goesOn = new CountDownLatch(1);
-            onLoop(() -> {
-                blocked.countDown();
-                try {
-                    goesOn.await(20, TimeUnit.SECONDS);
-                } catch (InterruptedException e) {
-                    throw new IllegalStateException(e);
-                }
-            });
-            blocked.await(20, TimeUnit.SECONDS);
+            block(goesOn);
             client.send(request(kind, "second"));
             first.socket().close();
             goesOn.countDown();
--- a/src/test/java/junctionhead/node/NodeFixture.java
+++ b/src/test/java/junctionhead/node/NodeFixture.java
@@ -13,12 +13,14 @@
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import junctionhead.Policy;
 import junctionhead.config.Config;
 import org.junit.jupiter.api.AfterEach;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 import org.junit.jupiter.api.BeforeEach;
 
 /** A real balancer over loopback sockets, with a module that does what the test says. */
@@ -271,6 +273,20 @@
         }
     }
 
+    /** Returns once the loop stands still, until the latch is let go. */
+    void block(CountDownLatch goesOn) throws InterruptedException {
+        CountDownLatch blocked = new CountDownLatch(1);
+        onLoop(() -> {
+            blocked.countDown();
+            try {
+                goesOn.await(20, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        assertTrue(blocked.await(20, TimeUnit.SECONDS));
+    }
+
     void onLoop(Runnable action) {
         node.loop().execute(action);
     }
