--- a/src/test/java/junctionhead/node/CrossingsTest.java
+++ b/src/test/java/junctionhead/node/CrossingsTest.java
@@ -348,6 +348,28 @@
         }
     }
 
+    /** The loop stands still for less than a drain's grace: what waits for the list's news then leaves. */
+    @Test
+    void behindAStandstillTheConnectionThatRestsIsUsed() throws IOException, InterruptedException {
+        start();
+        try (Client client = new Client(at)) {
+            client.send(request("read", "first"));
+            FakeUpstream.Got first = upstream.next();
+            first.answer(200, "", "ok");
+            assertEquals(200, client.status());
+            awaitRested("s1");
+            CountDownLatch goesOn = new CountDownLatch(1);
+            block(goesOn);
+            client.send(request("book", "second"));
+            TimeUnit.MILLISECONDS.sleep(300);       // the time itself is what has to pass
+            goesOn.countDown();
+            FakeUpstream.Got second = upstream.next();
+            second.answer(200, "", "ok");
+            assertEquals(200, client.status());
+            assertEquals(first.connection(), second.connection());
+        }
+    }
+
     /** By the platform's page a request begins with its last byte: no answer before that can be its own. */
     @ParameterizedTest
     @ValueSource(ints = {2, 100_000})
