The time by which a request may leave is looked at right before the system call

TimedChannel looks again in doWrite; what is too late fails unwritten and ends as never run. The limit is reckoned before (ListNews.graceHolds), so that the clock is the last thing looked at.

--- a/src/main/java/junctionhead/core/Dispatcher.java
+++ b/src/main/java/junctionhead/core/Dispatcher.java
@@ -148,8 +148,8 @@
     }
 
     @Override
-    public boolean graceMayBeOver() {
-        return standstill.mayBeOver(boot.settings().bounds().drainGrace(), now());
+    public long graceHolds() {
+        return standstill.graceHolds(boot.settings().bounds().drainGrace());
     }
 
     @Override
--- a/src/main/java/junctionhead/core/ListNews.java
+++ b/src/main/java/junctionhead/core/ListNews.java
@@ -13,8 +13,8 @@
         }
 
         @Override
-        public boolean graceMayBeOver() {
-            return false;
+        public long graceHolds() {
+            return Long.MAX_VALUE;
         }
 
         @Override
@@ -26,8 +26,11 @@
     /** Whether the loop has stood still, and not passed over its sockets since. */
     boolean mayLieUnread();
 
-    /** Whether it has done so for as long as a drain's grace: what is ready may not leave (rule 3). */
-    boolean graceMayBeOver();
+    /**
+     * Until when what is ready may leave, in µs of the node's clock (rule 3): then the grace of a drain may
+     * be over of which nothing has been read.
+     */
+    long graceHolds();
 
     /**
      * Runs {@code task} once news of the list that may lie unread has been read: at once where the loop keeps
--- a/src/main/java/junctionhead/core/Standstill.java
+++ b/src/main/java/junctionhead/core/Standstill.java
@@ -46,12 +46,12 @@
     }
 
     /**
-     * Whether the grace of a drain may be over of which nothing has been read: it may have been told right
-     * behind the begin of the last pass.
+     * Until when the grace of no drain can be over of which nothing has been read: it may have been told
+     * right behind the begin of the last pass.
      */
-    boolean mayBeOver(long grace, long now) {
-        return passed < Long.MAX_VALUE
-            && now >= Math.max(passed + OLD_LIST, DrainGrace.stopAt(DrainGrace.NEVER, passed, grace));
+    long graceHolds(long grace) {
+        return passed == Long.MAX_VALUE ? passed
+            : Math.max(passed + OLD_LIST, DrainGrace.stopAt(DrainGrace.NEVER, passed, grace));
     }
 
     /** Whether operators are to hear that a beat came so late; not each time where it goes on. */
--- a/src/main/java/junctionhead/upstream/Upstreams.java
+++ b/src/main/java/junctionhead/upstream/Upstreams.java
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioDomainSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
@@ -106,7 +105,7 @@
             .option(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(64, 2_048, READ_MOST)
                 .maxMessagesPerRead(READS));
         if (all == null) {
-            bootstrap.channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+            bootstrap.channelFactory(() -> new TimedChannel(clock)).option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true);
         } else {
             bootstrap.channel(NioDomainSocketChannel.class);
@@ -424,7 +423,11 @@
         // What has been made ready leaves now, unless the process stood still for too long meanwhile: then
         // none of it has, or does, and news of the list comes before all that is begun anew.
         private boolean leaves() {
-            if (!news.graceMayBeOver() && clock.now() < call.before) {
+            long until = Math.min(call.before, news.graceHolds());
+            if (clock.now() < until) {
+                if (channel instanceof TimedChannel timed) {
+                    timed.within(until);            // a stop from here on fails it, unwritten
+                }
                 channel.flush();
                 return true;
             }
--- a/src/test/java/junctionhead/node/UpstreamsTest.java
+++ b/src/test/java/junctionhead/node/UpstreamsTest.java
@@ -87,7 +87,13 @@
                 }
                 client.status();
             }
+            if (told.equals("CONNECT_FAILED")) {    // the grace ended while that one's connection came up
+                client.send(SAFE);
+                told = module.next();
+                client.status();
+            }
             assertEquals("NOT_SENT", told);
+            assertTrue(upstream.isEmpty());
         }
     }
 
