--- a/src/test/java/junctionhead/node/StoodStillTest.java
+++ b/src/test/java/junctionhead/node/StoodStillTest.java
@@ -50,6 +50,7 @@
     private final class StandsStillOnce implements ListNews {
         private Runnable meanwhile;
         private boolean over = true;
+        private long holds = Long.MAX_VALUE;        // where it is not over
 
         @Override
         public boolean mayLieUnread() {
@@ -63,7 +64,7 @@
             if (now != null) {
                 now.run();
             }
-            return now != null && over ? Long.MIN_VALUE : Long.MAX_VALUE;
+            return now != null && over ? Long.MIN_VALUE : holds;
         }
 
         @Override
@@ -104,6 +105,7 @@
     private InetSocketAddress at;                   // in place of its own, or null
     private Upstreams upstreams;
     private long stoodFor;                          // µs, on top of the system's clock; of the loop
+    private long standsBehindLook;                  // and what is added behind the next look at it
 
     private static SettingsReader.Boot boot() {
         Map<String, String> values = new HashMap<>(Map.of("Balancers", "1", "Quantum", "1000",
@@ -117,7 +119,10 @@
     }
 
     private long now() {
-        return TimeUnit.NANOSECONDS.toMicros(System.nanoTime()) + stoodFor;
+        long read = TimeUnit.NANOSECONDS.toMicros(System.nanoTime()) + stoodFor;
+        stoodFor += standsBehindLook;
+        standsBehindLook = 0;
+        return read;
     }
 
     @BeforeEach
@@ -215,6 +220,24 @@
         assertNothingCame();
     }
 
+    /** It stands still behind the last look but one, with the request on its way to the system call. */
+    @ParameterizedTest
+    @EnumSource
+    void nothingLeavesBehindAStopRightBeforeTheSystemCall(Way way) throws IOException, InterruptedException {
+        ready(way);
+        onLoop(() -> news.meanwhile = () -> {
+            news.over = false;
+            news.holds = now() + GRACE / 2;
+            standsBehindLook = GRACE;
+        });
+        send("late", 0, way == Way.UPLOAD);
+        Policy.Outcome end = end();
+        assertTrue(end.neverRan(), end::toString);
+        assertTrue(rests.stream().noneMatch(Rest::started));
+        onLoop(() -> news.holds = Long.MAX_VALUE);
+        assertNothingCame();
+    }
+
     /** The upstream resets the connection right before the first bytes leave: the rest is still to be had. */
     @Test
     void aLongBodyWhoseConnectionBreaksAtItsFirstBytesIsNotHandedOver()
