A failing test of the incident: requests sent on after their clients have closed

Staging broke rule lost: requests sent on 0.2 to 0.4 s after their clients had closed.

DepartedClients holds processes of the program (SIGSTOP, 0.17 to 0.29 s) while clients send and close.

Testbed holds what such runs on real processes have in common.

--- a/src/rig/java/junctionhead/rig/Ledger.java
+++ b/src/rig/java/junctionhead/rig/Ledger.java
@@ -16,12 +16,19 @@
     enum Final {
         SERVED, REFUSED, FAILED, NOT_TAKEN, NONE,
         /** None, because its balancer was killed, or stood still for its time, by the run's own script. */
-        LOST
+        LOST,
+        /** None, because it closed its connection before it came: nothing is owed. */
+        LEFT
     }
 
     /** What goes against the rules. */
     enum Breach { BOOKED_TWICE, REFUSED_AFTER_IT_RAN, UNANSWERED, ANSWERED_TWICE, SERVED_UNBOOKED,
-        SENT_AFTER_DRAIN }
+        SENT_AFTER_DRAIN,
+        /** A request reached a server long after its client had closed its connection. */
+        SENT_AFTER_CLOSE }
+
+    /** µs after a client's close until which a request may still be sent on. */
+    static final long CLOSE_GRACE = 100_000;
 
     /** A breach, the order it concerns and all that was noted of it. */
     record Finding(Breach breach, String order, List<String> history) { }
@@ -33,6 +40,7 @@
         int effects;
         int finals;
         Final last = Final.NONE;
+        long leftAt = Long.MAX_VALUE;
 
         Entry(Policy.Effect effect) {
             this.effect = effect;
@@ -76,6 +84,30 @@
         }
     }
 
+    /** Its client has closed its connection before any response; that is its end. */
+    synchronized void left(String order, long at) {
+        Entry entry = entries.get(order);
+        entry.leftAt = at;
+        answered(order, Final.LEFT, at);
+    }
+
+    /**
+     * A whole request has reached a server.
+     *
+     * @param slack µs by which {@code at} may be later than it was sent: those of the rules, and the delay of
+     *     whoever noted it
+     */
+    synchronized void reached(String order, String server, long slack, long at) {
+        Entry entry = entries.get(order);
+        if (entry == null) {
+            return;
+        }
+        entry.history.add(at + " reached " + server);
+        if (at - entry.leftAt > CLOSE_GRACE + slack) {
+            find(Breach.SENT_AFTER_CLOSE, order, entry);
+        }
+    }
+
     /** A note for its history that is no breach by itself. */
     synchronized void note(String order, String what, long at) {
         Entry entry = entries.get(order);
--- a/src/rig/java/junctionhead/rig/StandInBox.java
+++ b/src/rig/java/junctionhead/rig/StandInBox.java
@@ -302,6 +302,7 @@
             return;
         }
         long now = clock.now();
+        ledger.reached(id, name, Demo.SLACK, now);
         if (begunAt > sendsEnd) {
             ledger.sentAfterDrain(id, name, begunAt - sendsEnd, now);
         }
--- /dev/null
+++ b/src/rig/java/junctionhead/rig/Testbed.java
@@ -0,0 +1,136 @@
+package junctionhead.rig;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import junctionhead.core.Clock;
+import junctionhead.rig.fleet.Member;
+import junctionhead.rig.fleet.Wire;
+
+/**
+ * Several processes of the program before stand-in servers and a discovery, with one ledger over all of them.
+ * May be used from any thread; {@link #close} ends every process and connection that was begun here.
+ */
+final class Testbed implements AutoCloseable {
+    private static final long WATCHING_NANOS = TimeUnit.SECONDS.toNanos(60);
+    private static final int POLL_MILLIS = 20;
+    private static final int CLOSE_SECONDS = 5;
+
+    final Clock clock = Clock.system();
+    final Ledger ledger = new Ledger();
+    final Fleet servers;
+    private final String classPath;
+    private final Scenario scenario;
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final List<Member> members = new CopyOnWriteArrayList<>();
+    private final List<Member> former = new CopyOnWriteArrayList<>();
+    private final List<Wire> wires = new CopyOnWriteArrayList<>();
+
+    /**
+     * Opens the servers and the discovery; no process yet.
+     *
+     * @param classPath what holds the program with its tools
+     * @param requests all requests that will be sent, as the servers have to know their work
+     */
+    Testbed(String classPath, Scenario scenario, List<Script.Order> requests) throws InterruptedException {
+        this.classPath = classPath;
+        this.scenario = scenario;
+        this.servers = new Fleet(scenario, requests, loop, clock, ledger, Demo.GRACE + Demo.SLACK);
+        servers.open();
+    }
+
+    /** The configuration file of the process at that place among so many. */
+    String configuration(int place, int processes) {
+        return BalancerToml.of(scenario, servers.discoveryAt(), "n" + place, place, processes);
+    }
+
+    /** Starts so many processes, each with its own configuration; they may not listen yet. */
+    void start(int processes) throws IOException {
+        for (int place = 0; place < processes; place++) {
+            members.add(Member.start(classPath, configuration(place, processes)));
+        }
+    }
+
+    /** Starts another process in the place of one that has ended. */
+    Member restart(int place) throws IOException {
+        former.add(members.get(place));
+        Member next = Member.start(classPath, configuration(place, members.size()));
+        members.set(place, next);
+        return next;
+    }
+
+    /** Waits until all are ready and watch the discovery. */
+    void awaitReady() throws IOException, InterruptedException {
+        for (Member member : members) {
+            member.awaitReady();
+        }
+        long until = System.nanoTime() + WATCHING_NANOS;
+        while (onLoop(servers::watches) < members.size()) {
+            if (System.nanoTime() > until) {
+                throw new IOException("not every process watches the discovery");
+            }
+            Thread.sleep(POLL_MILLIS);
+        }
+    }
+
+    /** The present processes, by place. */
+    List<Member> members() {
+        return members;
+    }
+
+    /** What all processes have logged, the former ones included. */
+    List<String> log() {
+        return java.util.stream.Stream.concat(former.stream(), members.stream())
+            .flatMap(member -> member.log().stream()).toList();
+    }
+
+    /** A new connection of a client. */
+    Wire connect(InetSocketAddress to) throws IOException {
+        Wire wire = new Wire();
+        wires.add(wire);
+        if (!wire.open(to)) {
+            throw new IOException("its machine does not accept");
+        }
+        return wire;
+    }
+
+    /** Forgets a connection that its owner has closed. */
+    void closed(Wire wire) {
+        wires.remove(wire);
+    }
+
+    /** Runs a task on the event loop of the servers and the discovery, and returns its result. */
+    <T> T onLoop(Callable<T> task) throws InterruptedException {
+        try {
+            return loop.submit(task).get();
+        } catch (ExecutionException e) {
+            throw new IllegalStateException(e.getCause());
+        }
+    }
+
+    @Override
+    public void close() {
+        members.forEach(Member::close);
+        former.forEach(Member::close);
+        wires.forEach(Wire::close);
+        try {
+            loop.submit(servers::close).get(CLOSE_SECONDS, TimeUnit.SECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new IllegalStateException("the stand-in servers do not close", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+}
--- a/src/rig/java/junctionhead/rig/fleet/Member.java
+++ b/src/rig/java/junctionhead/rig/fleet/Member.java
@@ -150,6 +150,23 @@
         }
     }
 
+    /** Waits until a process that was told to {@link Signal#STOP} gets no turn any more (Linux). */
+    public void awaitStopped() throws IOException, InterruptedException {
+        Path stat = Path.of("/proc", Long.toString(process.pid()), "stat");
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        while (!stopped(Files.readString(stat))) {
+            if (System.nanoTime() > until) {
+                throw new IllegalStateException("it does not stand still: " + last());
+            }
+            Thread.sleep(1);
+        }
+    }
+
+    // proc(5): the state follows the name of the program, which stands in brackets.
+    private static boolean stopped(String stat) {
+        return stat.startsWith("T", stat.lastIndexOf(')') + 2);
+    }
+
     /** Waits for its end, and returns its exit code. */
     public int await() throws InterruptedException {
         if (!process.waitFor(PATIENCE_S, TimeUnit.SECONDS)) {
--- a/src/rig/java/junctionhead/rig/fleet/Wire.java
+++ b/src/rig/java/junctionhead/rig/fleet/Wire.java
@@ -71,6 +71,16 @@
         }
     }
 
+    /** Ends the connection by a reset (RST), where {@link #close} ends it in order (FIN). */
+    public void reset() {
+        try {
+            socket.setSoLinger(true, 0);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);     // on an open socket it does not fail
+        }
+        close();
+    }
+
     @Override
     public void close() {
         try {
--- /dev/null
+++ b/src/test/java/junctionhead/rig/DepartedClientsTest.java
@@ -0,0 +1,29 @@
+package junctionhead.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * No request of a client that has closed its connection is sent on, over any connection and however it ended:
+ * the incident of 2 December 2026, docs/incidents.
+ */
+class DepartedClientsTest {
+    @ParameterizedTest
+    @Timeout(300)
+    @CsvSource({"SINGLE, FIN, 16", "SINGLE, RESET, 8", "BURST, FIN, 8", "BURST, RESET, 4", "KEPT, FIN, 4",
+        "BEFORE_HOLD, FIN, 8", "PIPELINED, FIN, 4"})
+    void nothingIsSentOnAfterItsClientHasLeft(DepartedClients.Arrival arrival, DepartedClients.Close close,
+            int rounds) throws IOException, InterruptedException {
+        try (DepartedClients run = new DepartedClients(DemoTest.CLASS_PATH, 3, rounds)) {
+            DepartedClients.Outcome outcome = run.play(arrival, close);
+            assertTrue(outcome.left() > 0);
+            assertEquals(List.of(), outcome.sentOn(), outcome::summary);
+        }
+    }
+}
