A log of each connection, request and attempt, off unless asked for

The incident's evidence has no line that tells whether a request waited in the listener's queue, in its socket, in the module or for its connection. HONEYSPINDLE_REQUEST_LOG=on writes a line for each accept, pause of accepting, close with its reason, request, attempt and final response. Off by default.

--- a/src/main/java/junctionhead/core/Dispatcher.java
+++ b/src/main/java/junctionhead/core/Dispatcher.java
@@ -89,6 +89,7 @@
     private int owed;
     private long lastAnswerAt = Long.MAX_VALUE;     // once it is to end
     private Runnable whenIdle;
+    private RequestLog requestLog = RequestLog.OFF;
 
     /** {@code clock} is read on the loop's thread; {@code log} must not block. */
     public Dispatcher(Loop loop, Clock clock, SettingsReader.Boot boot, Policy policy,
@@ -107,6 +108,16 @@
         membership = by;
     }
 
+    /** What happens to requests and attempts is logged there from here on. */
+    public void logTo(RequestLog events) {
+        requestLog = events;
+    }
+
+    /** Where fronts log what happens to connections. */
+    public RequestLog requestLog() {
+        return requestLog;
+    }
+
     /** µs since 1970, as the clock has it. */
     public long now() {
         return clock.now();
@@ -200,6 +211,7 @@
         owed++;
         x.entry = tally.taken(order);
         guard(x, x.deadline - now());
+        requestLog.request(RequestLog.Event.REQUEST_TAKEN, order.id(), x.deadline - now());
         if (upload != null) {
             x.arriving = true;
             upload.then = () -> arrived(x);
@@ -368,6 +380,7 @@
         if (!x.closed) {
             close(x);
             tally.gone();
+            requestLog.request(RequestLog.Event.CLIENT_CLOSED, x.order.id(), x.out);
             tellGone(x);
             withdraw(x);
             forget(x);
@@ -383,6 +396,7 @@
             }
             close(x);
             tally.failed();
+            requestLog.request(RequestLog.Event.RESPONSE_FAILED, x.order.id(), "last_resort");
             x.reply.fail();
             tellGone(x);
             for (Attempt a : x.attempts) {
@@ -415,6 +429,7 @@
     private void withdraw(Exchange x) {
         for (Attempt a : List.copyOf(x.attempts)) {
             if (!a.ended && a.carried != null && a.carried.withdraw()) {
+                requestLog.attempt(RequestLog.Event.ATTEMPT_WITHDRAWN, x.order.id(), a.number, "unsent");
                 ended(a, Policy.Outcome.NOT_SENT, null, null);
             }
         }
@@ -440,8 +455,10 @@
         x.out--;
         tally.ended(outcome);
         long latency = now() - a.at;
+        requestLog.attempt(RequestLog.Event.ATTEMPT_ENDED, x.order.id(), a.number, outcome);
         if (outcome == Policy.Outcome.OK && !x.closed) {
             close(x);
+            requestLog.request(RequestLog.Event.RESPONSE_SERVED, x.order.id(), a.number);
             tally.served(x.entry, x.order.timeLeft() - (x.deadline - now()));
             x.reply.serve(answer);
         } else if (answer != null && answer.rest() != null) {
@@ -457,6 +474,7 @@
     // What has not been handed to the carrier has not run; of all else the carrier tells.
     private void giveUp(Attempt a, Policy.Outcome ifWritten) {
         if (!a.ended) {
+            requestLog.attempt(RequestLog.Event.ATTEMPT_GIVEN_UP, a.exchange.order.id(), a.number, ifWritten);
             boolean mayHaveRun = a.carried != null && a.carried.giveUp() == Carrier.Fate.MAY_HAVE_RUN;
             ended(a, mayHaveRun ? ifWritten : Policy.Outcome.NOT_SENT, null, null);
         }
@@ -487,6 +505,7 @@
     /** The same, which may have counted as told for {@code toldFor} µs before it came. */
     public void listed(Policy.ListKind kind, Targets targets, long toldFor) {
         if (targets != null) {
+            requestLog.process(RequestLog.Event.LIST_RECEIVED, targets.rev());
             carrier.listed(targets, now() - standstill.unread(now()) - toldFor);
         }
         hand(news, now -> policy.servers(now, kind, targets == null ? List.of() : targets.servers(), this));
@@ -538,6 +557,7 @@
         long wait = timeout == 0 ? left : Math.min(timeout, left);
         boolean allowed = !x.closed && wait > 0 && a.number < x.most
             && within > 0 && (x.order.rest() == null || !x.order.rest().started());
+        requestLog.attempt(RequestLog.Event.ATTEMPT_STARTED, x.order.id(), a.number, server);
         if (allowed) {
             a.wait = wait;
             // Once nobody waits for it any more it is not begun; a long body's time begins when it is there.
@@ -564,6 +584,7 @@
         if (x != null && !x.closed) {
             close(x);
             tally.refused();
+            requestLog.request(RequestLog.Event.RESPONSE_REFUSED, x.order.id(), retryAfter);
             x.reply.refuse(retryAfter);
             withdraw(x);
             forget(x);
@@ -576,6 +597,7 @@
         if (x != null && !x.closed) {
             close(x);
             tally.failed();
+            requestLog.request(RequestLog.Event.RESPONSE_FAILED, x.order.id(), "module");
             x.reply.fail();
             withdraw(x);
             forget(x);
--- a/src/main/java/junctionhead/front/http1/Client.java
+++ b/src/main/java/junctionhead/front/http1/Client.java
@@ -68,6 +68,7 @@
     private long since = System.nanoTime();         // the beginning of the receipt
     private final Lease lease;                      // what it has of the budget
     private long unreadSince;                       // 0: answers leave
+    private String closeReason = "peer";
 
     Client(ClientServer server, Channel channel) {
         this.server = server;
@@ -96,9 +97,21 @@
     }
 
     void close() {
+        close("budget");
+    }
+
+    private void close(String why) {
+        if (channel.isActive()) {
+            closeReason = why;
+        }
         channel.close();
     }
 
+    /** Why its connection was closed; its peer did so where nobody here has. */
+    String closeReason() {
+        return closeReason;
+    }
+
     /** Ends what takes too long. Guards against peers that say nothing, or a byte now and then. */
     void look(long now) {
         boolean read = !gate.isShut() && channel.config().isAutoRead();
@@ -121,7 +134,7 @@
         } else if (unreadSince == 0) {
             unreadSince = now;
         } else if (now - unreadSince > UNREAD) {
-            close();
+            close("response not read");
         }
     }
 
@@ -131,7 +144,7 @@
             outflow.rest.drop();
             outflow.broken();
         } else {
-            close();
+            close("no progress");
         }
     }
 
@@ -286,7 +299,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        close();
+        close("error");
     }
 
     // ---------------------------------------------------------------- what goes out
@@ -425,7 +438,7 @@
             if (outflow == this) {
                 outflow = null;
                 channel.config().setOption(ChannelOption.SO_LINGER, 0);
-                close();
+                close("response broken off");
             }
         }
     }
@@ -479,7 +492,7 @@
             bytes += part instanceof ByteBuf some ? some.readableBytes() : 0;
             ReferenceCountUtil.release(part);
             if (ending && bytes > linger) {
-                close();
+                close("too much behind the last response");
             }
         }
     }
--- a/src/main/java/junctionhead/front/http1/ClientServer.java
+++ b/src/main/java/junctionhead/front/http1/ClientServer.java
@@ -37,6 +37,7 @@
 import junctionhead.core.Order;
 import junctionhead.core.OrderRules;
 import junctionhead.core.Reply;
+import junctionhead.core.RequestLog.Event;
 import junctionhead.core.Room;
 import junctionhead.core.Stream;
 import junctionhead.http1.Http1Fields;
@@ -245,9 +246,12 @@
         clients.add(client);
         comers++;
         strangers++;
+        long number = comers;
+        dispatcher.requestLog().connection(Event.CONNECTION_ACCEPTED, number, channel.remoteAddress());
         channel.closeFuture().addListener(closed -> {
             budget.closed(client.lease(), System.nanoTime());
             clients.remove(client);
+            dispatcher.requestLog().connection(Event.CONNECTION_CLOSED, number, client.closeReason());
             client.closed();
             makeRoom();
         });
@@ -279,7 +283,7 @@
         if (dispatcher.mayLieUnread() && !budget.admits(Side.CLIENT, System.nanoTime())) {
             // Of those that seem to rest some hold a request that has not been read.
             waking = true;
-            listener.config().setAutoRead(false);
+            accept(false, "unread news");
             dispatcher.afterNews(() -> {
                 waking = false;
                 makeRoom();
@@ -293,7 +297,7 @@
         if (listener.isOpen()) {
             boolean open = room && (rehearsal == null || strangers < STRANGERS)
                 && life.accepts(shared);
-            listener.config().setAutoRead(open);
+            accept(open, !room ? "no room" : rehearsal != null ? "warm-up" : "life cycle");
             if (!open && !again) {
                 again = true;                       // a newcomer's fair time may be over before anything ends
                 loop.schedule(() -> {
@@ -305,6 +309,13 @@
         }
     }
 
+    private void accept(boolean on, String why) {
+        if (on != listener.config().isAutoRead()) {
+            dispatcher.requestLog().process(on ? Event.ACCEPT_RESUMED : Event.ACCEPT_PAUSED, why);
+            listener.config().setAutoRead(on);
+        }
+    }
+
     // ---------------------------------------------------------------- requests
 
     void serve(Client client, HttpRequest request, byte[] body, Stream rest, long length) {
--- a/src/main/java/junctionhead/node/Node.java
+++ b/src/main/java/junctionhead/node/Node.java
@@ -23,6 +23,7 @@
 import junctionhead.core.Addresses;
 import junctionhead.core.Clock;
 import junctionhead.core.Dispatcher;
+import junctionhead.core.RequestLog;
 import junctionhead.core.Room;
 import junctionhead.core.Targets;
 import junctionhead.front.http1.ClientServer;
@@ -91,6 +92,7 @@
         budget = new Budget(config.connections(), System.nanoTime());
         Policy policy = module.apply(config.boot().settings(), config.seed());
         dispatcher = new Dispatcher(new NettyLoop(loop), Clock.system(), config.boot(), policy, log);
+        dispatcher.logTo(RequestLog.of(System.getenv(), log));
         upstreams = new Upstreams(loop, config.boot(), budget, dispatcher::now, dispatcher);
         boolean asked = config.discovery() != null;
         discovery = asked ? new Discovery(loop, config.discovery(), config.boot(), config.known().rev(),
--- a/src/rig/java/junctionhead/rig/DepartedClients.java
+++ b/src/rig/java/junctionhead/rig/DepartedClients.java
@@ -79,7 +79,8 @@
     private static Scenario scenario() {
         return new Scenario("departed", 7, 0, 0, 0, new Scenario.Cold(1, 1, 1_000, 1_000_000, 1_000_000),
             List.of(new Scenario.Boxes("server", SERVERS, 512, 1, 10_000, "a", "m", 1)),
-            List.of(new Scenario.Kind("order", Policy.Effect.UNSAFE, 1, WORK, 30_000_000, 60_000_000, 1, 1, 0)),
+            List.of(new Scenario.Kind("order", Policy.Effect.UNSAFE, 1, WORK, 30_000_000, 60_000_000, 1, 1,
+                0)),
             List.of());
     }
 
