Every attempt passes one guard before its first byte, which reads its client's end

Root cause of the incident: an attempt was sent on by what had been read up to then. Netty reads a connection once a pass and stops at the first read that does not fill its buffer, so the end of a client that closes right behind its request is read a pass later, behind the write.

The last piece of a long body is held back for the same look, and what has not been written whole is withdrawn when its client goes. HTTP/3 attempts wait for unread news of the list as well. The listener accepts up to 16 a pass, as far as the budget has room, and tries again 5 ms after a failed accept. Invariants counts what the guards must prevent: a send after the end, a second run, a second response, a close with a response owed.

AttemptRules.unbegun and its test moved to SendGuard, with the same assertions.

--- a/src/main/java/junctionhead/connections/Budget.java
+++ b/src/main/java/junctionhead/connections/Budget.java
@@ -84,7 +84,14 @@
 
     /** Whether another connection of that side may be opened with no other one ended for it. */
     public boolean admits(Side side, long now) {
-        return open(Side.CLIENT) + open(Side.UPSTREAM) < limits.most() && !sideFull(side, now);
+        return room(side, now) > 0;
+    }
+
+    /** How many more connections of that side may be opened with no other one ended for them. */
+    public int room(Side side, long now) {
+        Side other = side == Side.CLIENT ? Side.UPSTREAM : Side.CLIENT;
+        int total = limits.most() - open(Side.CLIENT) - open(Side.UPSTREAM);
+        return Math.max(0, Math.min(total, limits.most() - kept(other, now) - open(side)));
     }
 
     private boolean sideFull(Side side, long now) {
--- a/src/main/java/junctionhead/core/Carrier.java
+++ b/src/main/java/junctionhead/core/Carrier.java
@@ -15,6 +15,19 @@
     interface Listener {
         /** {@code answer} and {@code load} are null where none came. */
         void ended(Policy.Outcome outcome, Answer answer, Policy.Load load);
+
+        /**
+         * Looks whether somebody still waits for the attempt, right before its first byte and, where that is
+         * much later, before its last: until when that is certain, in µs of the node's clock. Where nobody
+         * does it is {@link SendGuard#NOBODY}, and the attempt has been withdrawn by then. Reads the client's
+         * connection: not to be called from within a read of any.
+         */
+        default long awaitedUntil() {
+            return Long.MAX_VALUE;
+        }
+
+        /** Its first bytes have left, maybe after its permit was over: the process was held up meanwhile. */
+        default void heldUp() { }
     }
 
     /** An attempt that has been started. */
@@ -23,8 +36,8 @@
         Fate giveUp();
 
         /**
-         * Takes it back where none of it has been written yet, and tells nobody from here on; false where it
-         * goes on. No cancellation of work: there is none, whatever the settings say of that.
+         * Takes it back where its last byte has not been written yet, and tells nobody from here on; false
+         * where it goes on. No cancellation of work: there is none, whatever the settings say of that.
          */
         boolean withdraw();
     }
--- a/src/main/java/junctionhead/core/Dispatcher.java
+++ b/src/main/java/junctionhead/core/Dispatcher.java
@@ -35,6 +35,7 @@
         boolean arriving;                           // its last byte has not come yet
         final List<Attempt> attempts = new ArrayList<>(2);
         final int most;                             // attempts, by the limits that it was taken under
+        final boolean unsafe;                       // it must not run twice, by its class at that time
         Tally.Entry entry;
         int out;
         boolean told;                               // to the module
@@ -42,8 +43,9 @@
         Loop.Timer guard;
         Loop.Timer stall;                           // while its upstream takes no more
 
-        Exchange(String id, Order order, Reply reply, long deadline, int most) {
+        Exchange(String id, Order order, Reply reply, long deadline, int most, boolean unsafe) {
             this.most = most;
+            this.unsafe = unsafe;
             this.id = id;
             this.order = order;
             this.reply = reply;
@@ -59,6 +61,7 @@
         Carrier.Attempt carried;
         Loop.Timer timer;
         boolean ended;
+        boolean neverRan;                           // its end proves that
 
         Attempt(Exchange exchange, int number, long at) {
             this.exchange = exchange;
@@ -90,6 +93,7 @@
     private long lastAnswerAt = Long.MAX_VALUE;     // once it is to end
     private Runnable whenIdle;
     private RequestLog requestLog = RequestLog.OFF;
+    private final Invariants invariants;
 
     /** {@code clock} is read on the loop's thread; {@code log} must not block. */
     public Dispatcher(Loop loop, Clock clock, SettingsReader.Boot boot, Policy policy,
@@ -100,6 +104,7 @@
         this.boot = boot;
         this.policy = policy;
         this.log = log;
+        this.invariants = new Invariants(log);
     }
 
     /** To be called before anything else. */
@@ -113,6 +118,11 @@
         requestLog = events;
     }
 
+    /** Where what must never happen is counted. */
+    public Invariants invariants() {
+        return invariants;
+    }
+
     /** Where fronts log what happens to connections. */
     public RequestLog requestLog() {
         return requestLog;
@@ -205,7 +215,9 @@
         String id = Long.toString(++taken, Character.MAX_RADIX);
         Upload upload = asked.rest() == null ? null : new Upload(asked.rest());
         Order order = upload == null ? asked : asked.passing(upload, asked.length());
-        Exchange x = new Exchange(id, order, reply, deadline(order), boot.settings().limits().maxAttempts());
+        Policy.Settings settings = boot.settings();
+        boolean unsafe = settings.classes().get(order.requestClass()).effect() == Policy.Effect.UNSAFE;
+        Exchange x = new Exchange(id, order, reply, deadline(order), settings.limits().maxAttempts(), unsafe);
         table.put(id, x);
         ids.add(order.id());
         owed++;
@@ -425,7 +437,7 @@
     }
 
     // Nothing is sent on for a request that is over. The module gives up what the settings let it cancel;
-    // what still waits for its connection has not begun, and needs no leave.
+    // what has not been written whole has not begun, and needs no leave.
     private void withdraw(Exchange x) {
         for (Attempt a : List.copyOf(x.attempts)) {
             if (!a.ended && a.carried != null && a.carried.withdraw()) {
@@ -448,6 +460,7 @@
             return;
         }
         a.ended = true;
+        a.neverRan = outcome.neverRan();
         if (a.timer != null) {
             a.timer.cancel();
         }
@@ -471,6 +484,52 @@
         forget(x);
     }
 
+    /** What the carrier tells of an attempt, and asks of it before it begins. */
+    private final class AttemptListener implements Carrier.Listener {
+        private final Attempt attempt;
+
+        AttemptListener(Attempt attempt) {
+            this.attempt = attempt;
+        }
+
+        @Override
+        public void ended(Policy.Outcome outcome, Answer answer, Policy.Load load) {
+            Dispatcher.this.ended(attempt, outcome, answer, load);
+        }
+
+        @Override
+        public long awaitedUntil() {
+            Exchange x = attempt.exchange;
+            long readAt = now();
+            x.reply.readConnection();
+            if (attempt.ended) {
+                return SendGuard.NOBODY;
+            }
+            if (x.closed) {
+                invariants.violated(Invariants.Violation.SEND_AFTER_END, x.order.id());
+                return SendGuard.NOBODY;
+            }
+            if (mayRunTwice()) {
+                invariants.violated(Invariants.Violation.SECOND_RUN, x.order.id());
+                return SendGuard.NOBODY;
+            }
+            requestLog.attempt(RequestLog.Event.ATTEMPT_SENT, x.order.id(), attempt.number,
+                now() - attempt.at);
+            return SendGuard.awaitedUntil(readAt);
+        }
+
+        private boolean mayRunTwice() {
+            Exchange x = attempt.exchange;
+            return x.unsafe && x.attempts.stream().anyMatch(other -> other != attempt && !other.neverRan);
+        }
+
+        @Override
+        public void heldUp() {
+            requestLog.attempt(RequestLog.Event.ATTEMPT_HELD_UP, attempt.exchange.order.id(), attempt.number,
+                now() - attempt.at);
+        }
+    }
+
     // What has not been handed to the carrier has not run; of all else the carrier tells.
     private void giveUp(Attempt a, Policy.Outcome ifWritten) {
         if (!a.ended) {
@@ -533,7 +592,7 @@
 
     public String summary() {
         return taken + " requests taken, " + owed + " unanswered, " + guarded + " last-resort answers, "
-            + faults + " faults; " + tally.summary();
+            + faults + " faults; " + tally.summary() + "; " + invariants.summary();
     }
 
     // ---------------------------------------------------------------- the module's actions
@@ -566,8 +625,7 @@
             if (!x.arriving) {
                 a.timer = loop.after(wait, () -> giveUp(a, Policy.Outcome.TIMEOUT));
             }
-            a.carried = carrier.send(server, x.order, wait, before,
-                (outcome, answer, load) -> ended(a, outcome, answer, load));
+            a.carried = carrier.send(server, x.order, wait, before, new AttemptListener(a));
         } else {
             ended(a, Policy.Outcome.NOT_SENT, null, null);
         }
--- /dev/null
+++ b/src/main/java/junctionhead/core/SendPermit.java
@@ -0,0 +1,20 @@
+package junctionhead.core;
+
+import junctionhead.Policy;
+
+/**
+ * Whether an attempt may begin, as {@link SendGuard} found it right before the first byte.
+ *
+ * @param refusal how the attempt ends unbegun; null where it may begin
+ * @param until where it may begin: its first byte has to leave before, in µs of the node's clock
+ */
+public record SendPermit(Policy.Outcome refusal, long until) {
+    static SendPermit refused(Policy.Outcome outcome) {
+        return new SendPermit(outcome, Long.MIN_VALUE);
+    }
+
+    /** Whether it may begin. */
+    public boolean granted() {
+        return refusal == null;
+    }
+}
--- a/src/main/java/junctionhead/front/http1/Client.java
+++ b/src/main/java/junctionhead/front/http1/Client.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.nio.AbstractNioChannel.NioUnsafe;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -24,6 +25,7 @@
 import java.util.concurrent.TimeUnit;
 import junctionhead.connections.Lease;
 import junctionhead.core.Answer;
+import junctionhead.core.Invariants.Violation;
 import junctionhead.core.Order;
 import junctionhead.core.Stream;
 import junctionhead.http1.Sink;
@@ -39,7 +41,9 @@
     private static final long BODY = TimeUnit.MILLISECONDS.toNanos(2_000);      // a body that is held whole
     private static final long UNREAD = TimeUnit.MILLISECONDS.toNanos(5_000);    // answers that nobody reads
     private static final long STALLED = TimeUnit.MILLISECONDS.toNanos(15_000); // a long body's progress
+    private static final String PEER_RESET = "peer reset";
     private static final int LINGER_BYTES = 64 * 1024;
+    private static final int READS_AT_ONCE = 32;    // each of up to four buffers: 4 MiB, bounded all the same
     private static final int AHEAD_MOST = 16;       // requests that may be sent ahead
     private static final int KEPT_MOST = 64 * 1024; // bytes that are kept behind them
 
@@ -69,6 +73,8 @@
     private final Lease lease;                      // what it has of the budget
     private long unreadSince;                       // 0: answers leave
     private String closeReason = "peer";
+    private long reads;                             // so far
+    private boolean reading;                        // within one
 
     Client(ClientServer server, Channel channel) {
         this.server = server;
@@ -103,10 +109,17 @@
     private void close(String why) {
         if (channel.isActive()) {
             closeReason = why;
+            if (gone != null && !why.equals(PEER_RESET)) {
+                server.violated(Violation.CLOSED_UNANSWERED, why);
+            }
         }
         channel.close();
     }
 
+    void violated(Violation what) {
+        server.violated(what, channel.toString());
+    }
+
     /** Why its connection was closed; its peer did so where nobody here has. */
     String closeReason() {
         return closeReason;
@@ -187,6 +200,23 @@
 
     // ---------------------------------------------------------------- what comes in
 
+    /**
+     * Reads what has come by now, and its end behind that. Netty reads a connection once a pass over the
+     * sockets and stops where a read does not fill its buffer: the end of a client that closes right behind
+     * its request is seen one pass later than the request. A long body that is not taken yet is left where it
+     * is.
+     */
+    void readNow() {
+        if (reading || !channel.config().isAutoRead() || !(channel.unsafe() instanceof NioUnsafe socket)) {
+            return;
+        }
+        long before = -1;
+        for (int i = 0; i < READS_AT_ONCE && channel.isActive() && reads != before; i++) {
+            before = reads;
+            socket.read();
+        }
+    }
+
     @Override
     public void begun(HttpRequest head) {
         if (!receiving) {                           // behind another one, in the same read
@@ -299,7 +329,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        close("error");
+        close(PEER_RESET);
     }
 
     // ---------------------------------------------------------------- what goes out
@@ -474,12 +504,18 @@
         @Override
         public void channelRead(ChannelHandlerContext context, Object part) {
             server.hasRead();
+            reads++;
+            reading = true;
             if (!receiving && !ending && !intake.flows()) {
                 receiving = true;
                 since = System.nanoTime();
                 server.budget().receiving(lease, since);
             }
-            context.fireChannelRead(part);
+            try {
+                context.fireChannelRead(part);
+            } finally {
+                reading = false;
+            }
         }
     }
 
--- a/src/main/java/junctionhead/front/http1/ClientServer.java
+++ b/src/main/java/junctionhead/front/http1/ClientServer.java
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -36,6 +35,7 @@
 import junctionhead.core.Drill;
 import junctionhead.core.Order;
 import junctionhead.core.OrderRules;
+import junctionhead.core.Invariants.Violation;
 import junctionhead.core.Reply;
 import junctionhead.core.RequestLog.Event;
 import junctionhead.core.Room;
@@ -48,8 +48,9 @@
 /** The side to the clients: takes connections, hands requests over, and words each one's final answer. */
 public final class ClientServer {
     private static final int BACKLOG = 1024;
-    private static final int ACCEPTS = 4;           // at once: between them the budget is asked again
+    private static final int ACCEPTS = 16;          // in one pass over the sockets, as Netty does
     private static final long LOOK_MS = 200;        // between looks at what takes too long
+    private static final long ACCEPT_RETRY_MS = 5;  // behind one that has failed
     private static final long AGAIN_MS = 20;        // while new connections wait to be accepted
     private static final int READ_MOST = 32 << 10;  // bytes at once
     private static final int READS = 4;             // in one turn: none keeps the others waiting
@@ -71,6 +72,8 @@
     private boolean winding;                        // some at rest are about to be closed
     private boolean makingRoom;
     private boolean waking;                         // room is made once all sockets have been looked at
+    private boolean acceptFails;                    // it is tried again soon
+    private long failedAccepts;
     private int strangers;                          // taken in during a rehearsal since the last look
     private boolean again;                          // room will be looked for again soon
     private long comers;                            // connections so far
@@ -98,8 +101,7 @@
         shared = inherited != null;
         try {
             ServerBootstrap bootstrap = new ServerBootstrap().group(loop, loop)
-                .channelFactory(() -> shared ? new NioServerSocketChannel(inherited)
-                    : new NioServerSocketChannel())
+                .channelFactory(() -> AcceptingChannel.of(inherited, new Gatekeeper()))
                 // Known before it listens: on a slow machine a connection came in before bind had returned
                 // to the starting thread, found no listener, and was dropped unanswered.
                 .handler(new ChannelInitializer<Channel>() {
@@ -108,8 +110,6 @@
                         listener = channel;
                         // Before this process is ready whoever came before it accepts.
                         channel.config().setAutoRead(!shared);
-                        channel.config().setRecvByteBufAllocator(
-                            new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS));
                     }
                 })
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
@@ -217,6 +217,10 @@
         return clients.stream().anyMatch(Client::passes);
     }
 
+    void violated(Violation what, String subject) {
+        dispatcher.invariants().violated(what, subject);
+    }
+
     void hasRead() {
         reads++;
     }
@@ -295,7 +299,7 @@
         makingRoom = false;
         budget.waiting(!room);
         if (listener.isOpen()) {
-            boolean open = room && (rehearsal == null || strangers < STRANGERS)
+            boolean open = room && !acceptFails && (rehearsal == null || strangers < STRANGERS)
                 && life.accepts(shared);
             accept(open, !room ? "no room" : rehearsal != null ? "warm-up" : "life cycle");
             if (!open && !again) {
@@ -309,6 +313,31 @@
         }
     }
 
+    /** How many connections are accepted at once, and what follows where that fails. */
+    private final class Gatekeeper implements AcceptingChannel.Gatekeeper {
+        // One at least: room for it was made before the listener was read.
+        @Override
+        public boolean mayAccept(int accepted) {
+            return accepted == 0 || accepted < ACCEPTS
+                && accepted < budget.room(Side.CLIENT, System.nanoTime())
+                && (rehearsal == null || strangers + accepted < STRANGERS);
+        }
+
+        @Override
+        public void acceptFailed(IOException cause) {
+            failedAccepts++;
+            if (Long.bitCount(failedAccepts) == 1) {
+                log.accept("accept failed: " + cause.getMessage() + ", " + failedAccepts + " so far");
+            }
+            acceptFails = true;
+            accept(false, "accept failed");
+            loop.schedule(() -> {
+                acceptFails = false;
+                makeRoom();
+            }, ACCEPT_RETRY_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void accept(boolean on, String why) {
         if (on != listener.config().isAutoRead()) {
             dispatcher.requestLog().process(on ? Event.ACCEPT_RESUMED : Event.ACCEPT_PAUSED, why);
@@ -372,9 +401,21 @@
             this.keep = keep;
         }
 
+        private void given() {
+            if (given) {
+                client.violated(Violation.SECOND_RESPONSE);
+            }
+            given = true;
+        }
+
+        @Override
+        public void readConnection() {
+            client.readNow();
+        }
+
         @Override
         public void serve(Answer answer) {
-            given = true;
+            given();
             if (answer.rest() != null) {
                 client.pass(answer, keep, old);
                 return;
@@ -385,7 +426,7 @@
 
         @Override
         public void refuse(long retryAfter) {
-            given = true;
+            given();
             String seconds = retryAfter <= 0 ? null : String.format(Locale.ROOT, "%.3f", retryAfter / 1e6);
             client.write(HttpResponseStatus.SERVICE_UNAVAILABLE,
                 Unpooled.copiedBuffer("refused: trying again is harmless\n", StandardCharsets.UTF_8),
@@ -394,7 +435,7 @@
 
         @Override
         public void fail() {
-            given = true;
+            given();
             client.plain(HttpResponseStatus.BAD_GATEWAY, "failed", keep);
         }
     }
--- /dev/null
+++ b/src/main/java/junctionhead/front/http3/DatagramCounter.java
@@ -0,0 +1,41 @@
+package junctionhead.front.http3;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+
+/** Counts what is read from the socket, and tells whether a read is under way. On the event loop. */
+final class DatagramCounter extends ChannelInboundHandlerAdapter {
+    private long count;
+    private boolean reading;
+
+    /** Datagrams so far. */
+    long count() {
+        return count;
+    }
+
+    /** Whether it is called from within a read. */
+    boolean isReading() {
+        return reading;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object datagram) {
+        count++;
+        reading = true;
+        try {
+            context.fireChannelRead(datagram);
+        } finally {
+            reading = false;
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        reading = true;
+        try {
+            context.fireChannelReadComplete();
+        } finally {
+            reading = false;
+        }
+    }
+}
--- a/src/main/java/junctionhead/front/http3/Http3Server.java
+++ b/src/main/java/junctionhead/front/http3/Http3Server.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
+import io.netty.channel.nio.AbstractNioChannel.NioUnsafe;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.handler.codec.http3.Http3;
 import io.netty.handler.codec.quic.QuicChannel;
@@ -44,6 +45,7 @@
     private static final int CONTROL_WINDOW = 4 * 1024;
     private static final int CONNECTION_IDS = 4;    // spare ones, for clients whose path changes
     private static final int DATAGRAM = 1_350;
+    private static final int READS_AT_ONCE = 16;    // each of up to sixteen datagrams
     private static final int CONNECTION_REFUSED = 0x02;     // RFC 9000, section 20.1
 
     final EventLoop loop;
@@ -55,6 +57,7 @@
     private final Consumer<String> log;
     private final Set<Connection> connections = new LinkedHashSet<>();
     private QuicSslContext context;                 // of new connections
+    private final DatagramCounter datagrams = new DatagramCounter();
     private Channel socket;
     private Future<?> looking;
     private boolean ready;
@@ -100,8 +103,13 @@
                 }
             }).build();
         try {
-            socket = new Bootstrap().group(loop).channel(NioDatagramChannel.class).handler(codec).bind(at)
-                .sync().channel();
+            socket = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(datagrams, codec);
+                    }
+                }).bind(at).sync().channel();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted");
@@ -116,6 +124,18 @@
         stopping = closing;
     }
 
+    /** Reads what has come by now, so that it is known which streams their clients have ended. */
+    void readNow() {
+        if (datagrams.isReading() || !(socket.unsafe() instanceof NioUnsafe unsafe)) {
+            return;
+        }
+        long before = -1;
+        for (int i = 0; i < READS_AT_ONCE && datagrams.count() != before; i++) {
+            before = datagrams.count();
+            unsafe.read();
+        }
+    }
+
     boolean isReady() {
         return ready;
     }
--- a/src/main/java/junctionhead/front/http3/RequestStream.java
+++ b/src/main/java/junctionhead/front/http3/RequestStream.java
@@ -228,6 +228,11 @@
         }
     }
 
+    @Override
+    public void readConnection() {
+        server.readNow();
+    }
+
     // ---------------------------------------------------------------- what goes out
 
     @Override
--- a/src/main/java/junctionhead/http1/Sink.java
+++ b/src/main/java/junctionhead/http1/Sink.java
@@ -28,9 +28,9 @@
     }
 
     /** A piece, which is flushed with all others that come in the same turn of the loop. */
-    public void write(byte[] piece) {
+    public ChannelFuture write(byte[] piece) {
         written += piece.length;
-        channel.write(new DefaultHttpContent(Unpooled.wrappedBuffer(piece)));
+        ChannelFuture left = channel.write(new DefaultHttpContent(Unpooled.wrappedBuffer(piece)));
         if (!flushing) {
             flushing = true;
             channel.eventLoop().execute(() -> {
@@ -38,6 +38,7 @@
                 channel.flush();
             });
         }
+        return left;
     }
 
     /** Whether more may be written now. */
--- a/src/main/java/junctionhead/node/http3/Http3Extension.java
+++ b/src/main/java/junctionhead/node/http3/Http3Extension.java
@@ -41,7 +41,8 @@
             if (told.trust().isEmpty()) {
                 return usual;
             }
-            upstreams = new Http3Upstreams(lent.loop(), lent.config().boot(), lent.dispatcher()::now, usual,
+            upstreams = new Http3Upstreams(lent.loop(), lent.config().boot(), lent.dispatcher()::now,
+                lent.dispatcher(), usual,
                 new Http3Upstreams.Limits(told.upstream(), told.trust(), told.serverName(), told.idle(),
                     true), lent.log());
             return upstreams;
--- a/src/main/java/junctionhead/node/http3/Rehearsal3.java
+++ b/src/main/java/junctionhead/node/http3/Rehearsal3.java
@@ -9,6 +9,7 @@
 import junctionhead.Policy;
 import junctionhead.config.Config;
 import junctionhead.core.Clock;
+import junctionhead.core.ListNews;
 import junctionhead.core.Fields;
 import junctionhead.core.Order;
 import junctionhead.core.Targets;
@@ -39,8 +40,9 @@
     Rehearsal3(EventLoop loop, Config config, Http3 told, InetSocketAddress at, Clock clock, Runnable done) {
         this.loop = loop;
         this.done = done;
-        carrier = new Http3Upstreams(loop, config.boot(), clock, null, new Http3Upstreams.Limits(
-            new BoxPlan.Limits(2, AT_ONCE, WAIT, WAIT), told.identity().chain(), null, told.idle(), false),
+        carrier = new Http3Upstreams(loop, config.boot(), clock, ListNews.NONE, null,
+            new Http3Upstreams.Limits(new BoxPlan.Limits(2, AT_ONCE, WAIT, WAIT), told.identity().chain(),
+                null, told.idle(), false),
             line -> { });
         limit = loop.schedule(this::end, MOST_MS, TimeUnit.MILLISECONDS);
         InetSocketAddress own = at.getAddress().isAnyLocalAddress()
--- a/src/main/java/junctionhead/upstream/AttemptRules.java
+++ b/src/main/java/junctionhead/upstream/AttemptRules.java
@@ -2,26 +2,10 @@
 
 import junctionhead.Policy.Outcome;
 
-/** When an attempt may be begun, and what its ending proves. No I/O; times in µs of one clock. */
+/** What the ending of an attempt proves. No I/O. */
 final class AttemptRules {
     private AttemptRules() { }
 
-    /**
-     * Looks at an attempt right before its first byte: the list and the time went on while it waited for its
-     * connection.
-     *
-     * @param before from then on it may not run any more, or nobody waits for it
-     * @param stopAt when the grace of its upstream's drain is over
-     * @param moved its upstream has another address now: whoever listens at this one is not that upstream
-     * @return how it ends unbegun, or null: it may begin
-     */
-    static Outcome unbegun(long now, long before, long stopAt, boolean moved) {
-        if (now >= before) {
-            return Outcome.NOT_SENT;
-        }
-        return now >= stopAt || moved ? Outcome.CONNECT_FAILED : null;     // another upstream may take it
-    }
-
     /**
      * An upstream begins with a request when its last byte has come. One that says before that it has served
      * it keeps to no rule, or answers another one: it can't be passed on, nor be taken for proof that nothing
--- a/src/main/java/junctionhead/upstream/TimedChannel.java
+++ b/src/main/java/junctionhead/upstream/TimedChannel.java
@@ -11,24 +11,37 @@
  */
 final class TimedChannel extends NioSocketChannel {
     private final Clock clock;
+    private static final Runnable NOTHING = () -> { };
+
     private long until = Long.MAX_VALUE;
+    private Runnable late = NOTHING;
 
     TimedChannel(Clock clock) {
         this.clock = clock;
     }
 
-    /** For the next write, in µs of the clock: from then on it fails, and the connection is closed. */
-    void within(long time) {
+    /**
+     * For the next write, in µs of the clock: from then on it fails, and the connection is closed.
+     *
+     * @param heldUp runs where the write left, and that time was over when the system call had returned
+     */
+    void within(long time, Runnable heldUp) {
         until = time;
+        late = heldUp;
     }
 
     @Override
     protected void doWrite(ChannelOutboundBuffer out) throws Exception {
         long time = until;
+        Runnable told = late;
         until = Long.MAX_VALUE;                     // what has begun goes on
+        late = NOTHING;
         if (clock.now() >= time) {
             throw new IOException("too late to be begun");
         }
         super.doWrite(out);
+        if (clock.now() >= time) {
+            told.run();
+        }
     }
 }
--- a/src/main/java/junctionhead/upstream/Upstreams.java
+++ b/src/main/java/junctionhead/upstream/Upstreams.java
@@ -47,6 +47,8 @@
 import junctionhead.core.Fields;
 import junctionhead.core.ListNews;
 import junctionhead.core.Order;
+import junctionhead.core.SendGuard;
+import junctionhead.core.SendPermit;
 import junctionhead.core.Stream;
 import junctionhead.core.Targets;
 import junctionhead.http1.Http1Fields;
@@ -202,9 +204,7 @@
             u.idle.remove(ready);
             ready.call = call;
             call.connection = ready;
-            // Behind this pass over the sockets, in which its end may lie; and it may have stood still since
-            // the module decided.
-            loop.execute(() -> news.afterNews(ready::go));
+            ready.goSoon();
         } else {
             dial(u, call);
         }
@@ -234,7 +234,7 @@
                 connection.finish(Outcome.CONNECT_FAILED, null, null);
                 connection.channel.close();
             } else {
-                news.afterNews(connection::go);
+                connection.goSoon();
             }
         });
     }
@@ -317,7 +317,7 @@
 
         @Override
         public boolean withdraw() {
-            if (ended || connection.begun) {
+            if (ended || connection.written) {
                 return false;
             }
             giveUp();
@@ -384,8 +384,14 @@
             return channel.isActive() && rest.usable(clock.now() - idleSince);
         }
 
+        // Behind this pass over the sockets, in which its end may lie, and behind news of the list where the
+        // loop has stood still since the module decided; never from within a read of a client's connection.
+        void goSoon() {
+            loop.execute(() -> news.afterNews(this::go));
+        }
+
         // It stands, and news of the list has been read.
-        void go() {
+        private void go() {
             if (!channel.isActive()) {
                 return;                     // it has ended meanwhile, and closed() has told so
             }
@@ -393,41 +399,47 @@
                 rest();                     // its attempt was given up meanwhile: the handshake is paid for
                 return;
             }
-            Outcome unbegun = AttemptRules.unbegun(clock.now(), call.before, upstream.stopAt,
-                !endpoint.equals(upstream.endpoint));
-            if (unbegun == null) {
-                write(call);
+            SendPermit permit = permit();
+            if (!channel.isActive()) {
+                return;
+            }
+            if (call != null && permit.granted()) {
+                write(call, permit);
             } else {
-                finish(unbegun, null, null);
+                finish(permit.refusal(), null, null);
                 rest();                     // closes it where its upstream drains or has moved
             }
         }
 
-        void write(Call next) {
-            call = next;
+        // The look at its client may withdraw the call.
+        private SendPermit permit() {
+            long awaitedUntil = call.listener.awaitedUntil();
+            long before = call == null ? Long.MIN_VALUE : call.before;
+            return SendGuard.decide(clock.now(), awaitedUntil, before, upstream.stopAt,
+                !endpoint.equals(upstream.endpoint), news.graceHolds());
+        }
+
+        private void write(Call next, SendPermit permit) {
             next.connection = this;
             begun = true;
             written = false;
             budget.asked(lease, System.nanoTime());
             reader.expect();
             if (next.order.rest() != null) {
-                upload(next);
+                upload(next, permit);
                 return;
             }
             ChannelFuture last = channel.write(next.message(endpoint));
-            if (leaves()) {
+            if (leaves(permit)) {
                 sent(next, last);
             }
         }
 
         // What has been made ready leaves now, unless the process stood still for too long meanwhile: then
         // none of it has, or does, and news of the list comes before all that is begun anew.
-        private boolean leaves() {
-            long until = Math.min(call.before, news.graceHolds());
-            if (clock.now() < until) {
-                if (channel instanceof TimedChannel timed) {
-                    timed.within(until);            // a stop from here on fails it, unwritten
-                }
+        private boolean leaves(SendPermit permit) {
+            if (clock.now() < permit.until()) {
+                within(permit.until(), call);
                 channel.flush();
                 return true;
             }
@@ -438,6 +450,13 @@
             return false;
         }
 
+        // What is flushed next leaves before then: a stop from here on fails it, unwritten.
+        private void within(long until, Call next) {
+            if (channel instanceof TimedChannel timed) {
+                timed.within(until, next.listener::heldUp);
+            }
+        }
+
         private void sent(Call next, ChannelFuture last) {
             last.addListener(done -> {
                 if (call == next) {
@@ -451,37 +470,73 @@
         }
 
         // Its last byte is that of the last piece; one whose client breaks off never runs.
-        private void upload(Call next) {
-            Stream rest = next.order.rest();
+        private void upload(Call next, SendPermit permit) {
             Sink sink = new Sink(channel);
             sink.begin(next.message(endpoint), next.order.body());
-            if (!leaves() || call != next) {
-                return;                             // or it has broken at its first bytes
-            }
-            rest.to(new Stream.Taker() {
-                @Override
-                public void piece(byte[] bytes) {
-                    sink.write(bytes);
-                    if (!sink.room()) {
-                        rest.pull(false);
-                    }
+            if (leaves(permit) && call == next) {   // else it has broken at its first bytes
+                next.order.rest().to(new Upload(next, sink));
+            }
+        }
+
+        /** The rest of a long body. Its last piece is held back until its client is known to be there. */
+        private final class Upload implements Stream.Taker {
+            private final Call next;
+            private final Sink sink;
+            private long left;                      // bytes until the last; many where that is not known
+            private byte[] last;
+            private ChannelFuture flushed;          // of the piece before it, if any
+
+            Upload(Call next, Sink sink) {
+                this.next = next;
+                this.sink = sink;
+                long length = next.order.length();
+                left = length < 0 ? Long.MAX_VALUE : length - next.order.body().length;
+            }
+
+            @Override
+            public void piece(byte[] bytes) {
+                left -= bytes.length;
+                if (left <= 0) {
+                    last = bytes;
+                    return;
+                }
+                flushed = sink.write(bytes);
+                if (!sink.room()) {
+                    next.order.rest().pull(false);
                 }
+            }
 
-                @Override
-                public void ended() {
-                    if (call == next) {
-                        sent(next, sink.end());
-                    }
+            @Override
+            public void ended() {
+                if (flushed == null) {
+                    loop.execute(this::finish);
+                } else {
+                    flushed.addListener(done -> loop.execute(this::finish));
                 }
+            }
 
-                @Override
-                public void broken() {
-                    if (call == next) {
-                        finish(Outcome.NOT_SENT, null, null);
-                        close();
-                    }
+            private void finish() {
+                if (call != next) {
+                    return;
                 }
-            });
+                long until = next.listener.awaitedUntil();
+                if (call != next) {                 // withdrawn: its client has gone
+                    return;
+                }
+                if (last != null) {
+                    sink.write(last);
+                }
+                within(until, next);
+                sent(next, sink.end());
+            }
+
+            @Override
+            public void broken() {
+                if (call == next) {
+                    Connection.this.finish(Outcome.NOT_SENT, null, null);
+                    Connection.this.close();
+                }
+            }
         }
 
         @Override
--- a/src/main/java/junctionhead/upstream/http3/Call.java
+++ b/src/main/java/junctionhead/upstream/http3/Call.java
@@ -22,6 +22,8 @@
 import junctionhead.core.Answer;
 import junctionhead.core.Carrier;
 import junctionhead.core.Order;
+import junctionhead.core.SendGuard;
+import junctionhead.core.SendPermit;
 import junctionhead.http3.BoxPlan;
 import junctionhead.http3.Endings;
 import junctionhead.http3.Endings.How;
@@ -83,12 +85,23 @@
         return stream != null && link.beyond(stream.streamId());
     }
 
-    void opened(QuicStreamChannel on) {
+    boolean isOver() {
+        return ended;
+    }
+
+    /** The look before its first byte; its client may have closed, and then it is over. */
+    SendPermit permit(long stopAt) {
+        long awaitedUntil = ended ? SendGuard.NOBODY : listener.awaitedUntil();
+        return SendGuard.decide(owner.clock.now(), awaitedUntil, before, stopAt, false,
+            owner.news.graceHolds());
+    }
+
+    void opened(QuicStreamChannel on, SendPermit permit) {
         if (ended) {                                // given up meanwhile
             Codes.reset(on, ErrorCodes.REQUEST_CANCELLED);
             return;
         }
-        if (owner.clock.now() >= before) {
+        if (owner.clock.now() >= permit.until()) {
             Codes.reset(on, ErrorCodes.REQUEST_CANCELLED);
             end(Policy.Outcome.NOT_SENT, null, null);
             return;
--- a/src/main/java/junctionhead/upstream/http3/Channel3.java
+++ b/src/main/java/junctionhead/upstream/http3/Channel3.java
@@ -20,6 +20,7 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import junctionhead.core.SendPermit;
 import junctionhead.http3.BoxPlan.Link;
 import junctionhead.http3.Endings.How;
 import junctionhead.http3.ErrorCodes;
@@ -113,16 +114,30 @@
         }
     }
 
+    // Never from within a read of a client's connection, and behind news of the list that may lie unread.
     private void open(Call call) {
-        // Rule 3: the list changed while this one waited for its connection; or more waited than the peer
-        // allows. The codec's own refusal would use up the stream's number, which counts at the peer.
-        if (box.owner().clock.now() >= box.stopAt() || left() <= 0) {
+        Http3Upstreams owner = box.owner();
+        owner.loop.execute(() -> owner.news.afterNews(() -> begin(call)));
+    }
+
+    private void begin(Call call) {
+        SendPermit permit = call.permit(box.stopAt());
+        if (call.isOver()) {
+            return;
+        }
+        if (!permit.granted()) {
+            call.end(permit.refusal(), null, null);
+            return;
+        }
+        // More may have waited than the peer allows. The codec's own refusal would use up the stream's
+        // number, which counts at the peer.
+        if (left() <= 0) {
             call.ended(How.NO_STREAM, -1);
             return;
         }
         Http3.newRequestStream(channel, call.reader()).addListener(done -> {
             if (done.isSuccess()) {
-                call.opened((QuicStreamChannel) done.getNow());
+                call.opened((QuicStreamChannel) done.getNow(), permit);
             } else {
                 call.ended(How.NO_STREAM, -1);
             }
--- a/src/main/java/junctionhead/upstream/http3/Http3Upstreams.java
+++ b/src/main/java/junctionhead/upstream/http3/Http3Upstreams.java
@@ -29,6 +29,7 @@
 import junctionhead.core.Clock;
 import junctionhead.core.DrainGrace;
 import junctionhead.core.Fields;
+import junctionhead.core.ListNews;
 import junctionhead.core.Order;
 import junctionhead.core.Targets;
 import junctionhead.http3.BoxPlan;
@@ -57,6 +58,7 @@
 
     final EventLoop loop;
     final Clock clock;
+    final ListNews news;
     final Limits limits;
     private final Carrier other;
     private final SettingsReader.Boot boot;
@@ -67,10 +69,14 @@
     private ChannelFuture socket4;
     private ChannelFuture socket6;
 
-    /** {@code other} carries what HTTP/3 doesn't, null: nothing does; {@code log} must not block. */
-    public Http3Upstreams(EventLoop loop, SettingsReader.Boot boot, Clock clock, Carrier other, Limits limits,
-            Consumer<String> log) {
+    /**
+     * {@code news}: of the list, which comes before what is begun; {@code other} carries what HTTP/3 doesn't,
+     * null: nothing does; {@code log} must not block.
+     */
+    public Http3Upstreams(EventLoop loop, SettingsReader.Boot boot, Clock clock, ListNews news, Carrier other,
+            Limits limits, Consumer<String> log) {
         this.loop = loop;
+        this.news = news;
         this.boot = boot;
         this.clock = clock;
         this.other = other;
--- a/src/rig/java/junctionhead/rig/fleet/Member.java
+++ b/src/rig/java/junctionhead/rig/fleet/Member.java
@@ -41,12 +41,23 @@
      * @param toml its configuration; see {@link #rewrite}
      */
     public static Member start(String classPath, String toml) throws IOException {
+        return start(List.of(), classPath, toml);
+    }
+
+    /** The same with at most so many descriptors, whatever its configuration says of connections. */
+    public static Member withDescriptors(int most, String classPath, String toml) throws IOException {
+        List<String> limit = List.of("sh", "-c", "ulimit -n \"$0\" && exec \"$@\"", Integer.toString(most));
+        return start(limit, classPath, toml);
+    }
+
+    private static Member start(List<String> through, String classPath, String toml) throws IOException {
         Path file = Files.createTempFile("member", ".toml");
         Files.writeString(file, toml);
-        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        return new Member(new ProcessBuilder(java, "-XX:+UseSerialGC", "-Xms40m", "-Xmx40m",
-            "-XX:TieredStopAtLevel=1", "-Xss256k", "-cp", classPath, "junctionhead.cli.Cli", "serve",
-            "--config", file.toString()).redirectErrorStream(true).start(), file);
+        List<String> command = new ArrayList<>(through);
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(List.of("-XX:+UseSerialGC", "-Xms40m", "-Xmx40m", "-XX:TieredStopAtLevel=1",
+            "-Xss256k", "-cp", classPath, "junctionhead.cli.Cli", "serve", "--config", file.toString()));
+        return new Member(new ProcessBuilder(command).redirectErrorStream(true).start(), file);
     }
 
     private void read() {
--- a/src/rig/java/junctionhead/rig/fleet/Wire.java
+++ b/src/rig/java/junctionhead/rig/fleet/Wire.java
@@ -45,6 +45,15 @@
         }
     }
 
+    /** Whether some of an answer has come that has not been read. */
+    public boolean hasAnswer() {
+        try {
+            return in.available() > 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** Waits for the next answer. */
     public Answer answer() {
         try {
--- /dev/null
+++ b/src/test/java/junctionhead/core/SendGuardTest.java
@@ -0,0 +1,49 @@
+package junctionhead.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import junctionhead.Policy.Outcome;
+import org.junit.jupiter.api.Test;
+
+class SendGuardTest {
+    private static final long NEVER = Long.MAX_VALUE;
+
+    private static SendPermit look(long now, long before, long stopAt, boolean moved) {
+        return SendGuard.decide(now, NEVER, before, stopAt, moved, NEVER);
+    }
+
+    @Test
+    void whatWaitedForItsConnectionIsLookedAtBeforeItsFirstByte() {
+        assertTrue(look(99, 100, DrainGrace.NEVER, false).granted());
+        assertEquals(Outcome.NOT_SENT, look(100, 100, DrainGrace.NEVER, false).refusal());
+        assertTrue(look(99, NEVER, 100, false).granted(), "within its grace");
+        assertEquals(Outcome.CONNECT_FAILED, look(100, NEVER, 100, false).refusal());
+        assertEquals(Outcome.CONNECT_FAILED, look(0, 100, DrainGrace.NEVER, true).refusal());
+        assertEquals(Outcome.NOT_SENT, look(100, 100, 100, true).refusal(), "nor may another take it");
+    }
+
+    @Test
+    void nothingBeginsForAClientThatHasClosed() {
+        SendPermit permit = SendGuard.decide(0, SendGuard.NOBODY, NEVER, NEVER, false, NEVER);
+        assertFalse(permit.granted());
+        assertEquals(Outcome.NOT_SENT, permit.refusal());
+        assertTrue(permit.refusal().neverRan());
+    }
+
+    @Test
+    void aPermitHoldsNoLongerThanTheLeastOfWhatItRestsOn() {
+        assertEquals(10, SendGuard.decide(0, 10, 20, 30, false, 40).until());
+        assertEquals(10, SendGuard.decide(0, 20, 10, 30, false, 40).until());
+        assertEquals(10, SendGuard.decide(0, 20, 30, 10, false, 40).until());
+        assertEquals(10, SendGuard.decide(0, 20, 30, 40, false, 10).until());
+    }
+
+    @Test
+    void aPermitEndsBeforeTheGraceOfACloseRightBehindTheRead() {
+        long readAt = 1_000_000;
+        assertTrue(SendGuard.awaitedUntil(readAt) < readAt + SendGuard.CLOSE_GRACE);
+        assertTrue(SendGuard.awaitedUntil(readAt) > readAt);
+    }
+}
--- /dev/null
+++ b/src/test/java/junctionhead/rig/FailedAcceptTest.java
@@ -0,0 +1,63 @@
+package junctionhead.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import junctionhead.Policy;
+import junctionhead.rig.fleet.Member;
+import junctionhead.rig.fleet.Wire;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A process of the program that has no descriptors left: accept fails with EMFILE until a client closes. */
+@Timeout(300)
+class FailedAcceptTest {
+    private static final int DESCRIPTORS = 80;
+    private static final int CLIENTS = 100;
+    private static final int WAITING = 20;
+    private static final long SETTLE_MILLIS = 300;
+    private static final long MOST_MILLIS = 4_000;  // those at rest are closed after 5 s, which would help
+
+    private static Testbed testbed() throws InterruptedException {
+        Scenario scenario = new Scenario("accept", 7, 0, 0, 0,
+            new Scenario.Cold(1, 1, 1_000, 1_000_000, 1_000_000),
+            List.of(new Scenario.Boxes("server", 1, 512, 1, 10_000, "a", "m", 1)),
+            List.of(new Scenario.Kind("order", Policy.Effect.UNSAFE, 1, 1_000, 1_000_000, 2_000_000, 1, 1,
+                0)),
+            List.of());
+        return new Testbed(DemoTest.CLASS_PATH, scenario, List.of());
+    }
+
+    /** One descriptor is free at a time: each client in the queue gets it soon, not a second later. */
+    @Test
+    void aFailedAcceptIsTriedAgainSoon() throws IOException, InterruptedException {
+        try (Testbed testbed = testbed();
+                Member member = Member.withDescriptors(DESCRIPTORS, DemoTest.CLASS_PATH,
+                    testbed.configuration(0, 1))) {
+            member.awaitReady();
+            List<Wire> clients = new ArrayList<>();
+            for (int i = 0; i < CLIENTS; i++) {
+                clients.add(testbed.connect(member.address()));
+                assertTrue(clients.get(i).send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n"));
+            }
+            member.line("accept failed: ");
+            Thread.sleep(SETTLE_MILLIS);
+            int accepted = (int) clients.stream().filter(Wire::hasAnswer).count();
+            assertTrue(accepted > 0 && accepted + WAITING < CLIENTS, () -> accepted + " were accepted");
+            long begin = System.nanoTime();
+            Wire before = clients.get(0);
+            for (Wire next : clients.subList(accepted, accepted + WAITING)) {
+                before.close();
+                assertEquals(200, next.answer().status());
+                before = next;
+            }
+            long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begin);
+            assertTrue(millis < MOST_MILLIS, () -> "it took " + millis + " ms");
+            assertTrue(member.log().stream().noneMatch(line -> line.startsWith("\tat ")), "no stack trace");
+        }
+    }
+}
