Netty's warnings go through the program's log, one line each and limited

Need: a failed accept or socket went to standard error as a stack trace, by a logger that blocks the event loop where nobody reads. NettyLogTest.

--- a/src/main/java/junctionhead/node/Node.java
+++ b/src/main/java/junctionhead/node/Node.java
@@ -31,6 +31,7 @@
 import junctionhead.front.management.Operations;
 import junctionhead.handover.Handover;
 import junctionhead.log.LineSink;
+import junctionhead.log.NettyLog;
 import junctionhead.loop.SocketsFirst;
 import junctionhead.loop.WholeMillis;
 import junctionhead.membership.Discovery;
@@ -121,6 +122,7 @@
     /** The same with what stands beside HTTP/1.1; {@code extension} may be null. */
     public static int serve(Supplier<Config> first, Supplier<Config> again, Extension extension) {
         LineSink log = new LineSink(System.err, "junctionhead: ");
+        NettyLog.install(log);
         // Before anything else: until then a signal ends the process as if there was nothing to be done.
         Signals signals = new Signals(log, again);
         if (!signals.listen()) {
--- /dev/null
+++ b/src/test/java/junctionhead/log/NettyLogTest.java
@@ -0,0 +1,42 @@
+package junctionhead.log;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import io.netty.util.internal.logging.InternalLogger;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.Test;
+
+class NettyLogTest {
+    @Test
+    void aWarningIsOneLineWithItsCauseAndNoStackTrace() {
+        InternalLoggerFactory before = InternalLoggerFactory.getDefaultFactory();
+        List<String> lines = new CopyOnWriteArrayList<>();
+        try {
+            NettyLog.install(lines::add);
+            InternalLogger logger = InternalLoggerFactory.getInstance("io.netty.channel.Some");
+            logger.warn("no {} for {}\nhere", "channel", 7, new IOException("Too many open files"));
+            logger.warn("a moment later");
+            logger.debug("nobody asks");
+        } finally {
+            InternalLoggerFactory.setDefaultFactory(before);
+        }
+        assertEquals(List.of("event=netty_warning logger=Some no channel for 7 here "
+            + "cause=java.io.IOException: Too many open files"), lines);
+    }
+
+    @Test
+    void whatIsHeldBackIsCountedInTheNextLine() {
+        NettyLog.Limiter limiter = new NettyLog.Limiter();
+        assertNotNull(limiter.line("warning", "A", "first", null, 0));
+        assertNull(limiter.line("warning", "A", "second", null, NettyLog.EVERY - 1));
+        assertNotNull(limiter.line("error", "A", "another level", null, NettyLog.EVERY - 1));
+        assertNull(limiter.line("warning", "A", "third", null, NettyLog.EVERY - 1));
+        assertEquals("event=netty_warning logger=A fourth held_back=1",
+            limiter.line("warning", "A", "fourth", null, NettyLog.EVERY));
+    }
+}
