--- /dev/null
+++ b/src/rig/java/junctionhead/rig/FaultSoak.java
@@ -0,0 +1,228 @@
+package junctionhead.rig;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
+import junctionhead.rig.fleet.Member;
+
+/**
+ * Processes of the program under load and faults that overlap in time: processes are held, killed, told to
+ * end and to read their configuration again, servers and discovery fail, clients close at any point of a
+ * request. The ledger and the program's own invariants say what went wrong. {@link #play} is for one thread
+ * and may be called once.
+ */
+public final class FaultSoak implements AutoCloseable {
+    /** What came of one seed. */
+    public record Outcome(long seed, int processes, long served, long refused, long failed, long left,
+            long lostToKills, List<String> violations) {
+        /** Whether something was served and nothing went wrong. */
+        public boolean isClean() {
+            return served > 0 && violations.isEmpty();
+        }
+
+        /** One line. */
+        public String summary() {
+            return String.format(Locale.ROOT, "seed %d, %d processes: %d served, %d refused, %d failed, %d"
+                + " clients left, %d lost to kills, %d violations", seed, processes, served, refused, failed,
+                left, lostToKills, violations.size());
+        }
+    }
+
+    private static final int CLIENTS = 4;           // of each process
+    private static final int MOST_REQUESTS = 4_000; // of one client
+    private static final int FAULT_THREADS = 32;
+    private static final long SETTLE_MILLIS = 500;
+    private static final List<String> BUGS = List.of(": invariant violated: ", ": fault ", "Exception");
+
+    private final SoakPlan plan;
+    private final Testbed testbed;
+    private final List<SoakTarget> targets = new ArrayList<>();
+    private final List<String> mishaps = new CopyOnWriteArrayList<>();
+    private final ExecutorService clients = Executors.newCachedThreadPool();
+    private final ScheduledExecutorService faults = Executors.newScheduledThreadPool(FAULT_THREADS);
+    private final AtomicInteger restarts = new AtomicInteger();
+
+    /**
+     * Opens the servers.
+     *
+     * @param classPath what holds the program with its tools
+     * @param seconds how long the load lasts
+     */
+    public FaultSoak(String classPath, long seed, int processes, int seconds) throws InterruptedException {
+        plan = SoakPlan.of(seed, processes, TimeUnit.SECONDS.toMicros(seconds));
+        List<Script.Order> requests = new ArrayList<>();
+        List<Scenario.Kind> kinds = plan.scenario().kinds();
+        for (int client = 0; client < processes * CLIENTS; client++) {
+            for (int i = 0; i < MOST_REQUESTS; i++) {
+                int kind = i % kinds.size();
+                requests.add(new Script.Order(i, SoakClient.id(client, i), 0, kind, "k",
+                    kinds.get(kind).work()));
+            }
+        }
+        testbed = new Testbed(classPath, plan.scenario(), requests);
+    }
+
+    /** Starts the processes, plays load and faults, and tells what came of it. */
+    public Outcome play() throws IOException, InterruptedException {
+        testbed.start(plan.processes());
+        testbed.awaitReady();
+        for (Member member : testbed.members()) {
+            targets.add(new SoakTarget(member));
+        }
+        long begin = testbed.clock.now();
+        testbed.servers.script(begin);
+        for (SoakPlan.ProcessFault fault : plan.faults()) {
+            faults.schedule(() -> befall(fault), fault.at(), TimeUnit.MICROSECONDS);
+        }
+        List<Future<?>> running = new ArrayList<>();
+        for (int number = 0; number < plan.processes() * CLIENTS; number++) {
+            SoakClient client = new SoakClient(plan, number, MOST_REQUESTS, testbed, targets, mishaps);
+            running.add(clients.submit(() -> {
+                client.run(begin + plan.lasting());
+                return null;
+            }));
+        }
+        for (Future<?> client : running) {
+            try {
+                client.get();
+            } catch (ExecutionException e) {
+                throw new IOException("a client failed: " + e.getCause(), e.getCause());
+            }
+        }
+        while (restarts.get() > 0) {
+            Thread.sleep(SETTLE_MILLIS);
+        }
+        endAll();
+        return outcome();
+    }
+
+    private Outcome outcome() {
+        List<String> violations = new ArrayList<>(mishaps);
+        testbed.ledger.findings().forEach(f ->
+            violations.add(f.breach() + " " + f.order() + ": " + String.join(", ", f.history())
+                + logged(f.order())));
+        testbed.log().stream().filter(line -> BUGS.stream().anyMatch(line::contains))
+            .forEach(violations::add);
+        Ledger ledger = testbed.ledger;
+        return new Outcome(plan.seed(), plan.processes(), ledger.count(Ledger.Final.SERVED),
+            ledger.count(Ledger.Final.REFUSED), ledger.count(Ledger.Final.FAILED),
+            ledger.count(Ledger.Final.LEFT), ledger.count(Ledger.Final.LOST), violations);
+    }
+
+    // What the processes logged of a request, where their request log is on.
+    private String logged(String id) {
+        return testbed.log().stream().filter(line -> line.contains("request=" + id + " "))
+            .map(line -> "\n    " + line).collect(Collectors.joining());
+    }
+
+    // ---------------------------------------------------------------- faults of processes
+
+    private void befall(SoakPlan.ProcessFault fault) {
+        SoakTarget target = targets.get(fault.place());
+        try {
+            switch (fault.kind()) {
+                case HOLD -> hold(target, fault.lasting());
+                case RELOAD -> reload(target, fault.place());
+                case KILL -> replace(target, fault.place(), true);
+                case TERMINATE -> replace(target, fault.place(), false);
+                default -> throw new IllegalStateException("no such fault: " + fault);
+            }
+        } catch (IOException | IllegalStateException e) {
+            mishaps.add("process " + fault.place() + ": " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void hold(SoakTarget target, long micros) throws IOException, InterruptedException {
+        Member member = target.beginHold();
+        if (member == null) {
+            return;                                 // it is held, or down
+        }
+        try {
+            member.signal(Member.Signal.STOP);
+            Thread.sleep(TimeUnit.MICROSECONDS.toMillis(micros));
+            member.signal(Member.Signal.CONT);
+        } catch (IOException e) {
+            if (target.isUp(member)) {              // else it has ended meanwhile, as it was told
+                throw e;
+            }
+        } finally {
+            target.endHold(micros);
+        }
+    }
+
+    private void reload(SoakTarget target, int place) throws IOException, InterruptedException {
+        Member member = target.upMember();
+        if (member != null) {
+            member.rewrite(testbed.configuration(place, plan.processes())
+                .replace("aim = \"500000us\"", "aim = \"" + (500_000 + System.nanoTime() % 1_000) + "us\""));
+            try {
+                member.signal(Member.Signal.HUP);
+            } catch (IOException e) {
+                if (target.isUp(member)) {
+                    throw e;
+                }
+            }
+        }
+    }
+
+    private void replace(SoakTarget target, int place, boolean kill)
+            throws IOException, InterruptedException {
+        Member member = target.beginEnd(kill);
+        if (member == null) {
+            return;                                 // it is down already
+        }
+        restarts.incrementAndGet();
+        try {
+            member.signal(kill ? Member.Signal.KILL : Member.Signal.TERM);
+            int code = member.await();
+            target.ended();
+            if (!kill) {
+                checkEnd(place, member, code);
+            }
+            Member next = testbed.restart(place);
+            next.awaitReady();
+            target.began(next);
+        } finally {
+            restarts.decrementAndGet();
+        }
+    }
+
+    private void checkEnd(int place, Member member, int code) throws InterruptedException {
+        if (code != 0) {
+            mishaps.add("process " + place + " ended with code " + code);
+        } else if (!member.line("stopped: ").contains(" 0 unanswered")) {
+            mishaps.add("process " + place + ": " + member.line("stopped: "));
+        }
+    }
+
+    private void endAll() throws IOException, InterruptedException {
+        faults.shutdown();
+        faults.awaitTermination(1, TimeUnit.MINUTES);
+        for (Member member : testbed.members()) {
+            member.signal(Member.Signal.TERM);
+        }
+        for (int place = 0; place < testbed.members().size(); place++) {
+            Member member = testbed.members().get(place);
+            checkEnd(place, member, member.await());
+        }
+    }
+
+    @Override
+    public void close() {
+        faults.shutdownNow();
+        clients.shutdownNow();
+        testbed.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/junctionhead/rig/FaultSoakTest.java
@@ -0,0 +1,21 @@
+package junctionhead.rig;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A short fault soak of few processes; long ones by the command {@code soak}. */
+class FaultSoakTest {
+    @ParameterizedTest
+    @Timeout(300)
+    @ValueSource(longs = {1, 2})
+    void nothingGoesWrongUnderFaultsThatOverlap(long seed) throws IOException, InterruptedException {
+        try (FaultSoak soak = new FaultSoak(DemoTest.CLASS_PATH, seed, 4, 8)) {
+            FaultSoak.Outcome outcome = soak.play();
+            assertTrue(outcome.isClean(), () -> outcome.summary() + " | " + outcome.violations());
+        }
+    }
+}
