--- a/src/rig/java/junctionhead/cli/SoakCommand.java
+++ b/src/rig/java/junctionhead/cli/SoakCommand.java
@@ -41,6 +41,7 @@
                 Runtime.getRuntime().removeShutdownHook(hook);
                 System.out.println(outcome.summary());
                 outcome.violations().stream().limit(EXAMPLES).forEach(v -> System.out.println("  " + v));
+                outcome.notes().stream().limit(EXAMPLES).forEach(n -> System.out.println("  note: " + n));
                 code = outcome.isClean() ? code : 1;
             }
         }
