Soak: a drain's grace counts from when the last process heard of it

Traced: the process got that version of the list at 83.602, 0.09 s after it had sent; the stand-in discovery counted the drain as told from the first watch that was opened behind an outage, 1.3 s before, and this process came back later.

--- a/src/rig/java/junctionhead/rig/Fleet.java
+++ b/src/rig/java/junctionhead/rig/Fleet.java
@@ -55,6 +55,11 @@
         }
     }
 
+    /** See {@link StandInDiscovery#countFromLastWatch}. */
+    void countFromLastWatch() {
+        discovery.countFromLastWatch();
+    }
+
     /** Listens everywhere; not for the loop's own thread. */
     void open() throws InterruptedException {
         for (StandInBox box : boxes) {
--- a/src/rig/java/junctionhead/rig/Testbed.java
+++ b/src/rig/java/junctionhead/rig/Testbed.java
@@ -49,6 +49,11 @@
         servers.open();
     }
 
+    /** See {@link StandInDiscovery#countFromLastWatch}; before any process is started. */
+    void countFromLastWatch() {
+        servers.countFromLastWatch();
+    }
+
     /** The configuration file of the process at that place among so many. */
     String configuration(int place, int processes) {
         return BalancerToml.of(scenario, servers.discoveryAt(), "n" + place, place, processes);
