--- a/src/rig/java/junctionhead/rig/FaultSoak.java
+++ b/src/rig/java/junctionhead/rig/FaultSoak.java
@@ -49,6 +49,9 @@
     private static final long SETTLE_MILLIS = 500;
     private static final List<String> BUGS = List.of(": invariant violated: ", ": fault ", "Exception");
 
+    private static final List<String> CONTEXT = List.of("event=list_received", "discovery", "listening on",
+        "stood still");
+
     private final SoakPlan plan;
     private final Testbed testbed;
     private final List<SoakTarget> targets = new ArrayList<>();
@@ -143,7 +146,7 @@
     private String logged(String id) {
         return testbed.logOf("request=" + id + " ").stream()
             .filter(line -> line.contains("request=" + id + " ")
-                || line.contains("event=list_received") || line.contains("discovery") || line.contains("listening on") || line.contains("stood still"))
+                || CONTEXT.stream().anyMatch(line::contains))
             .map(line -> "\n    " + line).collect(Collectors.joining());
     }
 
