--- a/src/rig/java/junctionhead/rig/Standstills.java
+++ b/src/rig/java/junctionhead/rig/Standstills.java
@@ -1,9 +1,5 @@
 package junctionhead.rig;
 
-import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -13,7 +9,6 @@
 import java.util.TreeMap;
 import java.util.concurrent.BrokenBarrierException;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CyclicBarrier;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
@@ -22,7 +17,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import junctionhead.Policy;
-import junctionhead.core.Clock;
 import junctionhead.rig.fleet.Member;
 import junctionhead.rig.fleet.Wire;
 
@@ -88,27 +82,19 @@
     private static final long QUICK = 1_000;        // µs of work, before the stall
     private static final long LONG = 100_000;       // and for what comes at it: answers are owed for a while
 
-    private final String classPath;
     private final Size size;
-    private final Clock clock = Clock.system();
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = group.next();
     private final ExecutorService lives = Executors.newCachedThreadPool();
-    private final Ledger ledger = new Ledger();
-    private final Scenario scenario;
-    private final Fleet boxes;
-    private final List<Member> members = new CopyOnWriteArrayList<>();
-    private final List<Wire> wires = new CopyOnWriteArrayList<>();
+    private final Testbed testbed;
+    private final Ledger ledger;
     private final AtomicInteger quick = new AtomicInteger();
     private final AtomicInteger late = new AtomicInteger();
 
     /** {@code classPath}: what holds the program with its tools. */
     public Standstills(String classPath, Size size) throws InterruptedException {
-        this.classPath = classPath;
         this.size = size;
         Scenario.Kind kind = new Scenario.Kind("order", Policy.Effect.UNSAFE, 1, QUICK, 30_000_000,
             60_000_000, 1, 1, 0);
-        scenario = new Scenario("standstill", 7, 0, 0, 0,
+        Scenario scenario = new Scenario("standstill", 7, 0, 0, 0,
             new Scenario.Cold(1, 1, 1_000, 1_000_000, 1_000_000),
             List.of(new Scenario.Boxes("box", BOXES, 512, 1, 10_000, "a", "m", 1)), List.of(kind), List.of());
         List<Script.Order> script = new ArrayList<>();
@@ -116,23 +102,20 @@
             script.add(new Script.Order(i, "q" + i, 0, 0, "k", QUICK));
             script.add(new Script.Order(i, "o" + i, 0, 0, "k", LONG));
         }
-        boxes = new Fleet(scenario, script, loop, clock, ledger, Demo.GRACE + Demo.SLACK);
-        boxes.open();
+        testbed = new Testbed(classPath, scenario, script);
+        ledger = testbed.ledger;
     }
 
     /** Starts the processes and lets each stand still once; may be called once. */
     public Outcome play(When when) throws IOException, InterruptedException {
-        String toml = BalancerToml.of(scenario, boxes.discoveryAt());
-        for (int i = 0; i < size.processes(); i++) {
-            members.add(Member.start(classPath, toml));
-        }
+        testbed.start(size.processes());
         if (when != When.START) {
-            ready();
+            testbed.awaitReady();
         }
         CyclicBarrier drain = new CyclicBarrier(size.processes(), this::drainHalf);
         List<Future<List<Owed>>> running = new ArrayList<>();
-        for (int i = 0; i < members.size(); i++) {
-            Life life = new Life(when, i, toml, drain);
+        for (int i = 0; i < testbed.members().size(); i++) {
+            Life life = new Life(when, i, drain);
             running.add(lives.submit(life));
         }
         int owed = 0;
@@ -158,12 +141,12 @@
     }
 
     private List<String> log() {
-        return members.stream().flatMap(m -> m.log().stream()).toList();
+        return testbed.log();
     }
 
     // What each has to say or do besides answers.
     private void after(When when, Map<String, Integer> wrong) throws InterruptedException {
-        for (Member member : members) {
+        for (Member member : testbed.members()) {
             if (when == When.SIGHUP) {
                 member.line("configuration taken over");
             } else if (when == When.SIGTERM || when == When.STOPPING) {
@@ -175,20 +158,11 @@
         }
     }
 
-    private void ready() throws InterruptedException {
-        for (Member member : members) {
-            member.awaitReady();
-        }
-        while (onLoop(boxes::watches) < members.size()) {
-            Thread.sleep(20);
-        }
-    }
-
     private void drainHalf() {
         try {
-            onLoop(() -> {
+            testbed.onLoop(() -> {
                 for (int i = 0; i < BOXES / 2; i++) {
-                    boxes.drain("box-" + (i + 1));
+                    testbed.servers.drain("box-" + (i + 1));
                 }
                 return 0;
             });
@@ -197,14 +171,6 @@
         }
     }
 
-    private int onLoop(Callable<Integer> task) throws InterruptedException {
-        try {
-            return loop.submit(task).get();
-        } catch (ExecutionException e) {
-            throw new IllegalStateException(e.getCause());
-        }
-    }
-
     // What came in place of answers, and how often.
     private void answers(List<Owed> all, Map<String, Integer> wrong) {
         for (Owed owed : all) {
@@ -212,7 +178,7 @@
             boolean served = answer.status() == 200 && answer.text().equals(owed.id());
             ledger.answered(owed.id(), served ? Ledger.Final.SERVED : answer.status() == 503
                 ? Ledger.Final.REFUSED : answer.status() == 0 ? Ledger.Final.NONE : Ledger.Final.FAILED,
-                clock.now());
+                testbed.clock.now());
             if (!served) {
                 wrong.merge(owed.what() + ": " + answer.status() + " " + answer.text().strip(), 1,
                     Integer::sum);
@@ -220,15 +186,6 @@
         }
     }
 
-    private Wire wire(InetSocketAddress at) throws IOException {
-        Wire wire = new Wire();
-        wires.add(wire);
-        if (!wire.open(at)) {
-            throw new IOException("its machine does not accept");
-        }
-        return wire;
-    }
-
     private static void send(Wire wire, String text) throws IOException {
         if (!wire.send(text)) {
             throw new IOException("its machine does not take what is sent");
@@ -239,19 +196,17 @@
     private final class Life implements Callable<List<Owed>> {
         private final When when;
         private final int number;
-        private final String toml;
         private final CyclicBarrier drain;
         private final Member member;
         private final List<Wire> kept = new ArrayList<>();
         private final List<Owed> all = new ArrayList<>();
         private long stoodAt;
 
-        Life(When when, int number, String toml, CyclicBarrier drain) {
+        Life(When when, int number, CyclicBarrier drain) {
             this.when = when;
             this.number = number;
-            this.toml = toml;
             this.drain = drain;
-            this.member = members.get(number);
+            this.member = testbed.members().get(number);
         }
 
         @Override
@@ -268,7 +223,8 @@
             long stands = STALLS[number % STALLS.length];
             switch (when) {
                 case SIGHUP -> {
-                    member.rewrite(toml.replace("aim = \"30000000us\"", "aim = \"20000000us\""));
+                    member.rewrite(testbed.configuration(number, size.processes())
+                        .replace("aim = \"30000000us\"", "aim = \"20000000us\""));
                     member.signal(Member.Signal.HUP);
                 }
                 case SIGTERM -> member.signal(Member.Signal.TERM);
@@ -288,7 +244,7 @@
         private void keep(InetSocketAddress at) throws IOException {
             List<Owed> open = new ArrayList<>();
             for (int i = 0; i < size.kept(); i++) {
-                kept.add(wire(at));
+                kept.add(testbed.connect(at));
                 open.add(ask("q" + quick.getAndIncrement(), kept.get(i), "to be kept"));
                 if (open.size() >= AT_ONCE || i == size.kept() - 1) {
                     Map<String, Integer> wrong = new TreeMap<>();
@@ -305,7 +261,7 @@
             if (when == When.RESTS) {
                 Thread.sleep(NEARLY_RESTED);
             } else if (when == When.EVACUATION) {
-                Wire door = wire(member.management());
+                Wire door = testbed.connect(member.management());
                 send(door, "POST /api/evacuate HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
                 if (door.answer().status() != 200) {
                     throw new IOException("no evacuation");
@@ -336,12 +292,12 @@
                 all.add(late(kept.get(4 * i + 2), "sent on a kept connection"));
             }
             for (int i = 0; i < size.fresh(); i++) {
-                all.add(late(wire(at), "sent on a new connection"));
+                all.add(late(testbed.connect(at), "sent on a new connection"));
             }
         }
 
         private String[] order(String id) {
-            ledger.asked(id, Policy.Effect.UNSAFE, clock.now());
+            ledger.asked(id, Policy.Effect.UNSAFE, testbed.clock.now());
             return new String[] {"POST /api/k HTTP/1.1\r\nHost: x\r\nReq-Id: " + id + "\r\n"
                 + "Req-Kind: order\r\nReq-Deadline-Ms: 60000\r\nContent-Length: 8\r\n", "\r\nabcdefgh"};
         }
@@ -358,10 +314,7 @@
 
     @Override
     public void close() {
-        members.forEach(Member::close);
-        wires.forEach(Wire::close);
+        testbed.close();
         lives.shutdownNow();
-        boxes.close();
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 }
--- a/src/test/java/junctionhead/HouseTest.java
+++ b/src/test/java/junctionhead/HouseTest.java
@@ -12,6 +12,8 @@
 import junctionhead.core.DrainGrace;
 import junctionhead.core.OrderRules;
 import junctionhead.core.Room;
+import junctionhead.core.SendGuard;
+import junctionhead.core.SendPermit;
 import junctionhead.core.Tally;
 import junctionhead.http3.BoxPlan;
 import junctionhead.http3.Endings;
@@ -45,7 +47,7 @@
             .resideInAPackage("junctionhead.service..").or()
             .haveFullyQualifiedName("junctionhead.front.management.Calls").or()
             .belongToAnyOf(OrderRules.class, Tally.class, Balance.class, Room.class, DrainGrace.class,
-                HeadRules.class,
+                SendGuard.class, SendPermit.class, HeadRules.class,
                 MessageState.class, Endings.class, BoxPlan.class, Sessions.class, ResetGuard.class,
                 RetryTokens.class).or()
             .haveFullyQualifiedName("junctionhead.core.Standstill").or()
--- a/src/test/java/junctionhead/core/DispatcherTest.java
+++ b/src/test/java/junctionhead/core/DispatcherTest.java
@@ -127,6 +127,12 @@
 
     private static final class Answers implements Reply {
         final List<String> given = new ArrayList<>();
+        Runnable unread = () -> { };                // what lies in its connection
+
+        @Override
+        public void readConnection() {
+            unread.run();
+        }
 
         @Override
         public void serve(Answer answer) {
@@ -152,9 +158,13 @@
     private final Dispatcher dispatcher = new Dispatcher(loop, loop, boot(), policy, log::add);
 
     private static SettingsReader.Boot boot() {
+        return boot("safe");
+    }
+
+    private static SettingsReader.Boot boot(String idempotency) {
         Map<String, String> values = new HashMap<>(Map.of("Balancers", "1", "Quantum", "1000",
             "MembershipMode", "push", "Classes.count", "1", "Classes.0.Name", "read",
-            "Classes.0.Idempotency", "safe", "Classes.0.GoalTime", "20000", "Classes.0.GiveUp", "100000",
+            "Classes.0.Idempotency", idempotency, "Classes.0.GoalTime", "20000", "Classes.0.GiveUp", "100000",
             "Classes.0.Gain", "4", "Classes.0.LateShare", "0.25"));
         values.putAll(Map.of("Limits.TryLimit", "3", "Limits.MayDuplicate", "true", "Limits.Cancel", "true",
             "Limits.Probes", "false", "Rules.AnswerSlack", "8000", "Rules.DrainGrace", "1000000",
@@ -244,6 +254,40 @@
         assertEquals(1, dispatcher.tally().failures());
     }
 
+    @Test
+    void aClientsCloseThatLiesUnreadIsReadBeforeTheFirstByte() {
+        policy.mayNotCancel = true;
+        answers.unread = take();
+        Started attempt = carrier.started.get(0);
+        attempt.dialling = true;
+        assertEquals(SendGuard.NOBODY, attempt.listener.awaitedUntil());
+        assertTrue(attempt.givenUp);
+        assertEquals(List.of("gone", "NOT_SENT closed"), policy.told);
+    }
+
+    @Test
+    void anAttemptMayBeginForAsLongAsItsClientsCloseWouldBeWithinItsGrace() {
+        take();
+        long now = loop.now();
+        long until = carrier.started.get(0).listener.awaitedUntil();
+        assertTrue(until > now && until < now + SendGuard.CLOSE_GRACE);
+    }
+
+    @Test
+    void aRequestThatMustNotRunTwiceIsNotBegunAgainWhileItMayRun() {
+        Dispatcher unsafe = new Dispatcher(loop, loop, boot("unsafe"), policy, log::add);
+        unsafe.attach(carrier, Membership.NONE);
+        policy.copies = 2;
+        unsafe.take(new Order("r1", "POST", "/k", Fields.NONE, new byte[0], 0, 0, "k", 100_000, -1, false),
+            answers);
+        assertEquals(SendGuard.NOBODY, carrier.started.get(1).listener.awaitedUntil());
+        assertEquals(1, unsafe.invariants().count(Invariants.Violation.SECOND_RUN));
+        assertEquals(List.of("invariant violated: second_run r1, 1 so far"), log);
+        policy.silent = true;
+        carrier.started.get(0).listener.ended(Outcome.CONNECT_FAILED, null, null);
+        assertTrue(carrier.started.get(1).listener.awaitedUntil() > loop.now(), "the first one never ran");
+    }
+
     @Test
     void whatHasNotBegunIsTakenBackWithItsClientAndWhatHasIsLeftToTheModule() {
         policy.mayNotCancel = true;
