Rig: standard names for the stand-in server, its model, held processes and counts

StandInBox, BoxModel, Standstills and Tallies are StandInServer, ServerModel, HeldProcesses and RequestCounts, with their tests and command class; the command's name, scenario keys and behaviour stay. Model, ledger, house and command line tests pass.

--- a/src/rig/java/junctionhead/cli/Cli.java
+++ b/src/rig/java/junctionhead/cli/Cli.java
@@ -29,7 +29,7 @@
 @Command(name = "honeyspindle", mixinStandardHelpOptions = true, version = "honeyspindle 0.1.0",
     description = "A balancer for HTTP services that loses nothing, does nothing twice and keeps drains.",
     synopsisSubcommandLabel = "COMMAND", subcommands = {Cli.DemoCommand.class, Cli.BenchCommand.class,
-        StandstillsCommand.class, FleetCommand.class, SoakCommand.class,
+        HeldProcessesCommand.class, FleetCommand.class, SoakCommand.class,
         Cli.Check.class, Cli.Defaults.class, Cli.Serve.class, Calls.Ready.class, Calls.Evacuate.class,
         Calls.Rejoin.class,
         Cli.Wirehost.class, AutoComplete.GenerateCompletion.class},
--- a/src/rig/java/junctionhead/cli/StandstillsCommand.java
+++ b/src/rig/java/junctionhead/cli/HeldProcessesCommand.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.Callable;
-import junctionhead.rig.Standstills;
+import junctionhead.rig.HeldProcesses;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -14,13 +14,13 @@
     exitCodeListHeading = "%nExit codes:%n", exitCodeList = {
         "0:each request was served once, and no drained box got one", "1:one was not: what came is told",
         "2:the command line can't be used"})
-final class StandstillsCommand implements Callable<Integer> {
+final class HeldProcessesCommand implements Callable<Integer> {
     @Option(names = "--processes", paramLabel = "N", defaultValue = "3",
         description = "how many (default ${DEFAULT-VALUE}); each takes some 70 MB")
     private int processes;
     @Option(names = "--at", paramLabel = "POINT", split = ",",
         description = "${COMPLETION-CANDIDATES} (default all)")
-    private List<Standstills.When> points = List.of(Standstills.When.values());
+    private List<HeldProcesses.When> points = List.of(HeldProcesses.When.values());
     @Option(names = "--kept", paramLabel = "N", defaultValue = "60",
         description = "connections that each has had before, of which three in four carry a request "
             + "(default ${DEFAULT-VALUE})")
@@ -32,12 +32,12 @@
     @Override
     public Integer call() throws IOException, InterruptedException {
         int code = 0;
-        for (Standstills.When when : points) {
-            try (Standstills run = new Standstills(System.getProperty("java.class.path"),
-                    new Standstills.Size(processes, kept, fresh))) {
+        for (HeldProcesses.When when : points) {
+            try (HeldProcesses run = new HeldProcesses(System.getProperty("java.class.path"),
+                    new HeldProcesses.Size(processes, kept, fresh))) {
                 Thread hook = new Thread(run::close);
                 Runtime.getRuntime().addShutdownHook(hook);
-                Standstills.Outcome outcome = run.play(when);
+                HeldProcesses.Outcome outcome = run.play(when);
                 Runtime.getRuntime().removeShutdownHook(hook);
                 System.out.println(outcome.summary());
                 outcome.examples().forEach(e -> System.out.println("  " + e));
--- a/src/rig/java/junctionhead/rig/Bench.java
+++ b/src/rig/java/junctionhead/rig/Bench.java
@@ -101,8 +101,8 @@
             for (int i = 0; i < scripts.size(); i++) {
                 String way = WAYS.get(i % WAYS.size());
                 Balancer through = way.equals("bare") ? bare : way.equals("balancer") ? real : null;
-                Tallies tallies = new Tallies(scenario);
-                Load load = new Load(scenario, scripts.get(i), loadLoops.next(), clock, ledger, tallies,
+                RequestCounts counts = new RequestCounts(scenario);
+                Load load = new Load(scenario, scripts.get(i), loadLoops.next(), clock, ledger, counts,
                     through == null ? fleet.addresses() : List.of(through.address()));
                 CountDownLatch over = new CountDownLatch(1);
                 long cpu = through == null ? 0 : through.cpuMicros();
@@ -112,7 +112,7 @@
                 }
                 long used = through == null ? 0 : through.cpuMicros() - cpu;
                 load.close();
-                Tallies.Line line = tallies.all();
+                RequestCounts.Line line = counts.all();
                 Histogram h = line.latency;
                 if (i >= WAYS.size()) {
                     results.get(way).add(new Round((double) used / line.taken,
--- a/src/rig/java/junctionhead/rig/Demo.java
+++ b/src/rig/java/junctionhead/rig/Demo.java
@@ -56,7 +56,7 @@
     private final boolean terminal;
     private final Clock clock = Clock.system();
     private final Ledger ledger = new Ledger();
-    private final Tallies tallies;
+    private final RequestCounts counts;
     private final EventLoopGroup boxLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoopGroup loadLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final CountDownLatch over = new CountDownLatch(1);
@@ -77,7 +77,7 @@
         this.balancers = balancers;
         this.out = out;
         this.terminal = terminal;
-        this.tallies = new Tallies(scenario);
+        this.counts = new RequestCounts(scenario);
     }
 
     /** Plays to the end, and tells of it on the stream. */
@@ -94,7 +94,7 @@
                 + "%.1f times that%n", scenario.name(), scenario.boxNames().size(), scenario.rate(),
                 scenario.lasting() / 1e6, scenario.seed(), scenario.headroom());
             balancer = balancers.start(scenario, fleet.list(), fleet.discoveryAt());
-            Load load = new Load(scenario, script, loadLoops.next(), clock, ledger, tallies,
+            Load load = new Load(scenario, script, loadLoops.next(), clock, ledger, counts,
                 List.of(balancer.address()));
             if (http3 != null) {
                 load.through(http3.open(loadLoops.next(), balancer.http3()));
@@ -125,7 +125,7 @@
                     + String.join(" | ", balancer.log()));
             }
             return aborted.get() ? End.INTERRUPTED
-                : orderly && Report.isClean(tallies, ledger, boxes) ? End.CLEAN : End.BROKEN;
+                : orderly && Report.isClean(counts, ledger, boxes) ? End.CLEAN : End.BROKEN;
         } finally {
             told.countDown();
             close();
@@ -134,13 +134,13 @@
 
     private void tell(long used, List<Fleet.Standing> boxes) {
         out.println();
-        Report.lines(tallies, ledger, boxes).forEach(out::println);
-        long taken = Math.max(1, tallies.all().taken);
+        Report.lines(counts, ledger, boxes).forEach(out::println);
+        long taken = Math.max(1, counts.all().taken);
         if (used > 0) {
             out.printf(Locale.ROOT, "CPU of the balancer: %.0f µs a request%n", (double) used / taken);
         }
         // All that it said, where something went wrong; its last words otherwise.
-        boolean clean = Report.isClean(tallies, ledger, boxes);
+        boolean clean = Report.isClean(counts, ledger, boxes);
         List<String> said = balancer.log();
         said.subList(Math.max(0, said.size() - LINES), said.size()).stream()
             .filter(l -> !clean || l.contains("stopped: ")).forEach(out::println);
@@ -159,8 +159,8 @@
         int height = 0;
         while (!over.await(1, TimeUnit.SECONDS) && !aborted.get()) {
             List<Fleet.Standing> boxes = standings();
-            Tallies.Recent recent = tallies.recent();
-            Tallies.Line all = tallies.all();
+            RequestCounts.Recent recent = counts.recent();
+            RequestCounts.Line all = counts.all();
             String line = String.format(Locale.ROOT,
                 "%5.0f s %6d/s p50 %7.1f ms p99 %7.1f ms  worth %.3f  refused %d failed %d none %d",
                 (clock.now() - begin) / 1e6, recent.ends(), recent.p50() / 1e3, recent.p99() / 1e3,
@@ -182,7 +182,7 @@
     private int screen(String line, List<Fleet.Standing> boxes) {
         int height = 1;
         out.println("\u001b[2K" + line);
-        for (Tallies.Line of : tallies.lines()) {
+        for (RequestCounts.Line of : counts.lines()) {
             out.printf(Locale.ROOT, "\u001b[2K  %-16s worth %.3f  p50 %7.1f ms  p99 %7.1f ms%n", of.name,
                 of.worthInTime(), of.latency.getValueAtPercentile(50) / 1e3,
                 of.latency.getValueAtPercentile(99) / 1e3);
@@ -211,8 +211,8 @@
         return ledger;
     }
 
-    Tallies tallies() {
-        return tallies;
+    RequestCounts counts() {
+        return counts;
     }
 
     @Override
--- a/src/rig/java/junctionhead/rig/Fleet.java
+++ b/src/rig/java/junctionhead/rig/Fleet.java
@@ -16,7 +16,7 @@
     private final Scenario scenario;
     private final EventLoop loop;
     private final Clock clock;
-    private final List<StandInBox> boxes = new ArrayList<>();
+    private final List<StandInServer> boxes = new ArrayList<>();
     private final StandInDiscovery discovery;
     private InetSocketAddress discoveryAt;
 
@@ -25,10 +25,10 @@
         this.scenario = scenario;
         this.loop = loop;
         this.clock = clock;
-        Map<String, StandInBox.Known> known = new HashMap<>();
+        Map<String, StandInServer.Known> known = new HashMap<>();
         for (Script.Order order : script) {
             Scenario.Kind kind = scenario.kinds().get(order.kind());
-            known.put(order.id(), new StandInBox.Known(kind.effect(), order.work(), kind.window()));
+            known.put(order.id(), new StandInServer.Known(kind.effect(), order.work(), kind.window()));
         }
         SplittableRandom chance = new SplittableRandom(scenario.seed() ^ 0x5eed);
         LoopLag lag = new LoopLag(loop, clock);
@@ -41,7 +41,7 @@
                     cell = new Cell();
                     cells++;
                 }
-                boxes.add(new StandInBox(kind.name() + "-" + (i + 1), kind, scenario.cold(), loop, lag,
+                boxes.add(new StandInServer(kind.name() + "-" + (i + 1), kind, scenario.cold(), loop, lag,
                     clock, ledger, cell, cells - 1, known::get, chance.split()));
             }
         }
@@ -62,7 +62,7 @@
 
     /** Listens everywhere; not for the loop's own thread. */
     void open() throws InterruptedException {
-        for (StandInBox box : boxes) {
+        for (StandInServer box : boxes) {
             box.open();
         }
         discoveryAt = discovery.open();
@@ -73,7 +73,7 @@
     }
 
     List<InetSocketAddress> addresses() {
-        return boxes.stream().map(StandInBox::address).toList();
+        return boxes.stream().map(StandInServer::address).toList();
     }
 
     /** The list as a balancer would have it from before. */
@@ -102,7 +102,7 @@
         }
     }
 
-    private void befall(Scenario.Fault fault, StandInBox box, boolean on) {
+    private void befall(Scenario.Fault fault, StandInServer box, boolean on) {
         switch (fault.what()) {
             case STALL -> box.stall(on);
             case SLOW -> box.slow(on ? fault.amount() : 1);
@@ -128,7 +128,7 @@
     /** To be called on the loop. */
     List<Standing> standings() {
         List<Standing> all = new ArrayList<>();
-        for (StandInBox box : boxes) {
+        for (StandInServer box : boxes) {
             String word = !box.isUp() ? "down" : box.isStalled() ? "stalled"
                 : discovery.state(box.name()) != StandInDiscovery.State.IN_SERVICE ? "draining"
                 : box.warmth() < 1 ? "cold" : "up";
@@ -140,7 +140,7 @@
 
     /** Connections that boxes have been opened so far; on the loop. */
     long connections() {
-        return boxes.stream().mapToLong(StandInBox::opened).sum();
+        return boxes.stream().mapToLong(StandInServer::opened).sum();
     }
 
     /** What each can do, beside the others, in the order of {@link #standings}. */
@@ -160,6 +160,6 @@
 
     void close() {
         discovery.close();
-        boxes.forEach(StandInBox::close);
+        boxes.forEach(StandInServer::close);
     }
 }
--- a/src/rig/java/junctionhead/rig/FleetRun.java
+++ b/src/rig/java/junctionhead/rig/FleetRun.java
@@ -69,7 +69,7 @@
     private final PrintStream out;
     private final Clock clock = Clock.system();
     private final Ledger ledger = new Ledger();
-    private final Tallies tallies;
+    private final RequestCounts counts;
     private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
     private final EventLoop boxLoop = loops.next();
     private final EventLoop loadLoop = loops.next();
@@ -91,7 +91,7 @@
             of.boxes(), of.kinds(), of.faults());
         this.classPath = classPath;
         this.out = out;
-        this.tallies = new Tallies(scenario);
+        this.counts = new RequestCounts(scenario);
         this.script = Script.of(scenario);
         this.boxes = new Fleet(scenario, script, boxLoop, clock, ledger, Demo.GRACE + Demo.SLACK);
     }
@@ -128,7 +128,7 @@
         for (Member member : members) {
             at.add(member.address());
         }
-        load = new Load(scenario, script, loadLoop, clock, ledger, tallies, at, order -> dealt[order]);
+        load = new Load(scenario, script, loadLoop, clock, ledger, counts, at, order -> dealt[order]);
         long connections = onBoxes(boxes::connections);
         cpuBefore = members.stream().mapToLong(Member::cpuMicros).toArray();
         CountDownLatch over = new CountDownLatch(1);
@@ -144,7 +144,7 @@
         for (int i = 0; i < members.size(); i++) {
             cpu += Math.max(0, members.get(i).cpuMicros() - cpuBefore[i]);
         }
-        Tallies.Line all = tallies.all();
+        RequestCounts.Line all = counts.all();
         List<String> breaches = new ArrayList<>(mishaps);
         ledger.findings().forEach(f -> breaches.add(Report.words(f.breach()) + ": " + f.order() + ": "
             + String.join(", ", f.history())));
@@ -202,8 +202,8 @@
             List<Fleet.Standing> now = onBoxes(boxes::standings);
             most = Math.max(most, now.stream().mapToLong(Fleet.Standing::inFlight).max().orElse(0));
             if (look % 10 == 0) {
-                Tallies.Recent recent = tallies.recent();
-                Tallies.Line all = tallies.all();
+                RequestCounts.Recent recent = counts.recent();
+                RequestCounts.Line all = counts.all();
                 out.printf(Locale.ROOT, "%5.0f s %6d/s p50 %7.1f ms p99 %7.1f ms  refused %d failed %d"
                     + " none %d%n", (clock.now() - begin) / 1e6, recent.ends(), recent.p50() / 1e3,
                     recent.p99() / 1e3, all.refused, all.failed, all.unanswered);
--- a/src/rig/java/junctionhead/rig/Standstills.java
+++ b/src/rig/java/junctionhead/rig/HeldProcesses.java
@@ -26,7 +26,7 @@
  * owed its one answer when they go on. One ledger over all. For one thread; {@link #close} from any, and it
  * ends every process that was started.
  */
-public final class Standstills implements AutoCloseable {
+public final class HeldProcesses implements AutoCloseable {
     /** Where in its life a process stands still. */
     public enum When {
         /** It listens, and rehearses. */
@@ -90,7 +90,7 @@
     private final AtomicInteger late = new AtomicInteger();
 
     /** {@code classPath}: what holds the program with its tools. */
-    public Standstills(String classPath, Size size) throws InterruptedException {
+    public HeldProcesses(String classPath, Size size) throws InterruptedException {
         this.size = size;
         Scenario.Kind kind = new Scenario.Kind("order", Policy.Effect.UNSAFE, 1, QUICK, 30_000_000,
             60_000_000, 1, 1, 0);
--- a/src/rig/java/junctionhead/rig/Http3Side.java
+++ b/src/rig/java/junctionhead/rig/Http3Side.java
@@ -35,20 +35,20 @@
 import junctionhead.http3.wire.Codes;
 import junctionhead.http3.wire.LastFrame;
 
-/** The side of a {@link StandInBox} that speaks HTTP/3: each request is a {@link Line}. On its event loop. */
+/** The HTTP/3 side of a {@link StandInServer}: each request is a {@link Line}. On its event loop. */
 final class Http3Side {
     private static final int STREAMS = 200;
     private static final int INTERNAL_ERROR = 0x102;
 
     private final EventLoop loop;
     private final Clock clock;
-    private final StandInBox taker;
+    private final StandInServer taker;
     private final QuicSslContext context;
     private final Set<QuicChannel> connections = new HashSet<>();
     private Channel socket;
     private InetSocketAddress address;
 
-    Http3Side(EventLoop loop, Clock clock, Identity identity, StandInBox taker) {
+    Http3Side(EventLoop loop, Clock clock, Identity identity, StandInServer taker) {
         this.loop = loop;
         this.clock = clock;
         this.taker = taker;
--- a/src/rig/java/junctionhead/rig/Load.java
+++ b/src/rig/java/junctionhead/rig/Load.java
@@ -50,7 +50,7 @@
     private final EventLoop loop;
     private final Clock clock;
     private final Ledger ledger;
-    private final Tallies tallies;
+    private final RequestCounts counts;
     private final List<InetSocketAddress> to;       // null: nobody asks there for now
     private final IntUnaryOperator dealt;           // the place among these of an order, by its number
     private final long[] brokenUntil;               // what is there is dead or stands still, or was
@@ -65,12 +65,12 @@
     private Http3Clients http3;                     // null where all clients speak HTTP/1.1
 
     Load(Scenario scenario, List<Script.Order> script, EventLoop loop, Clock clock, Ledger ledger,
-            Tallies tallies, List<InetSocketAddress> to) {
-        this(scenario, script, loop, clock, ledger, tallies, to, order -> order % to.size());
+            RequestCounts counts, List<InetSocketAddress> to) {
+        this(scenario, script, loop, clock, ledger, counts, to, order -> order % to.size());
     }
 
     Load(Scenario scenario, List<Script.Order> script, EventLoop loop, Clock clock, Ledger ledger,
-            Tallies tallies, List<InetSocketAddress> to, IntUnaryOperator dealt) {
+            RequestCounts counts, List<InetSocketAddress> to, IntUnaryOperator dealt) {
         this.dealt = dealt;
         this.brokenUntil = new long[to.size()];
         this.scenario = scenario;
@@ -78,7 +78,7 @@
         this.loop = loop;
         this.clock = clock;
         this.ledger = ledger;
-        this.tallies = tallies;
+        this.counts = counts;
         this.to = new ArrayList<>(to);
         to.forEach(t -> idle.add(new ArrayDeque<>()));
     }
@@ -253,7 +253,7 @@
 
         void asked(Runnable whenInVain) {
             ledger.asked(order.id(), kind.effect(), clock.now());
-            tallies.taken(order.kind(), order.work());
+            counts.taken(order.kind(), order.work());
             patience = loop.schedule(() -> {
                 end(Final.NONE);
                 whenInVain.run();
@@ -282,7 +282,7 @@
             if (told != Final.NOT_TAKEN) {
                 ledger.answered(order.id(), told, clock.now());
             }
-            tallies.ended(order.kind(), order.work(), told, latency);
+            counts.ended(order.kind(), order.work(), told, latency);
             open--;
             Load.this.ended();
         }
--- a/src/rig/java/junctionhead/rig/Report.java
+++ b/src/rig/java/junctionhead/rig/Report.java
@@ -11,16 +11,16 @@
     private Report() { }
 
     /** Whether nothing went against the rules, and every order was taken: all of them are well formed. */
-    static boolean isClean(Tallies tallies, Ledger ledger, List<Fleet.Standing> boxes) {
-        return ledger.findings().isEmpty() && tallies.all().notTaken == 0
+    static boolean isClean(RequestCounts counts, Ledger ledger, List<Fleet.Standing> boxes) {
+        return ledger.findings().isEmpty() && counts.all().notTaken == 0
             && boxes.stream().allMatch(b -> b.falls() == 0);
     }
 
-    static List<String> lines(Tallies tallies, Ledger ledger, List<Fleet.Standing> boxes) {
+    static List<String> lines(RequestCounts counts, Ledger ledger, List<Fleet.Standing> boxes) {
         List<String> out = new ArrayList<>();
         out.add(String.format(Locale.ROOT, "%-16s %8s %8s %7s %8s %7s %5s %9s %9s %9s %6s", "class", "taken",
             "in time", "late", "refused", "failed", "none", "p50 ms", "p99 ms", "p99.9 ms", "worth"));
-        for (Tallies.Line line : tallies.lines()) {
+        for (RequestCounts.Line line : counts.lines()) {
             out.add(String.format(Locale.ROOT, "%-16s %8d %8d %7d %8d %7d %5d %9.1f %9.1f %9.1f %6.3f",
                 line.name,
                 line.taken, line.inTime, line.late, line.refused, line.failed, line.unanswered,
@@ -32,7 +32,7 @@
         out.add("runs begun by boxes: " + runs[0] + ", repeats dropped: " + runs[1]
             + ", turned away by boxes: "
             + boxes.stream().mapToLong(Fleet.Standing::declined).sum() + ", not taken: "
-            + tallies.all().notTaken);
+            + counts.all().notTaken);
         StringBuilder verdict = new StringBuilder();
         for (Ledger.Breach breach : Ledger.Breach.values()) {
             verdict.append(verdict.length() == 0 ? "" : ", ").append(words(breach)).append(": ")
--- a/src/rig/java/junctionhead/rig/Tallies.java
+++ b/src/rig/java/junctionhead/rig/RequestCounts.java
@@ -8,7 +8,7 @@
  * What clients got, by class, under the names of the balancer's own tally; worth goes by work. From any
  * thread.
  */
-final class Tallies {
+final class RequestCounts {
     /** The counts of a class, or of all; latencies in µs from the time at which an order was to be asked. */
     static final class Line {
         final String name;
@@ -38,7 +38,7 @@
     private Histogram recent = new Histogram(60_000_000, 3);
     private long recentEnds;
 
-    Tallies(Scenario scenario) {
+    RequestCounts(Scenario scenario) {
         this.scenario = scenario;
         scenario.kinds().forEach(k -> lines.add(new Line(k.name())));
     }
--- a/src/rig/java/junctionhead/rig/BoxModel.java
+++ b/src/rig/java/junctionhead/rig/ServerModel.java
@@ -13,7 +13,7 @@
  * <p>Every running job has a core of its own and all cores are equally fast, so one figure, the work that a
  * core has done since the beginning, says when each job ends: at its start's figure plus its own work.
  */
-final class BoxModel {
+final class ServerModel {
     /** A request at a box; {@code work} in µs at speed 1. */
     static final class Job {
         final String order;
@@ -58,7 +58,7 @@
     private boolean stalled;
     private double pressure;                        // work sent beyond what the overload factor allows
 
-    BoxModel(Scenario.Boxes kind, Scenario.Cold cold, long now) {
+    ServerModel(Scenario.Boxes kind, Scenario.Cold cold, long now) {
         this.cores = kind.cores();
         this.speed = kind.speed();
         this.queueMost = kind.queue();
--- a/src/rig/java/junctionhead/rig/StandInDiscovery.java
+++ b/src/rig/java/junctionhead/rig/StandInDiscovery.java
@@ -43,14 +43,14 @@
     enum State { IN_SERVICE, TERMINATING, TERMINATED }
 
     private static final class Entry {
-        final StandInBox box;
+        final StandInServer box;
         State state = State.IN_SERVICE;
         long bootMillis;
         long drainedAt;
         boolean heard;                              // by the balancer, of its state
         long told;                                  // of its drain, or when it counts as told
 
-        Entry(StandInBox box) {
+        Entry(StandInServer box) {
             this.box = box;
         }
     }
@@ -70,7 +70,7 @@
     private boolean down;
 
     /** {@code grace}: how long after a drain was told requests may still be sent, in µs. */
-    StandInDiscovery(EventLoop loop, Clock clock, long grace, List<StandInBox> boxes) {
+    StandInDiscovery(EventLoop loop, Clock clock, long grace, List<StandInServer> boxes) {
         this.loop = loop;
         this.clock = clock;
         this.grace = grace;
--- a/src/rig/java/junctionhead/rig/StandInBox.java
+++ b/src/rig/java/junctionhead/rig/StandInServer.java
@@ -35,8 +35,8 @@
 import junctionhead.core.Clock;
 import junctionhead.http3.Identity;
 
-/** An order box on a socket: HTTP/1.1 round a {@link BoxModel}, and what befalls it. On one event loop. */
-final class StandInBox implements BoxModel.Told {
+/** An order box on a socket: HTTP/1.1 round a {@link ServerModel}, and what befalls it. On one event loop. */
+final class StandInServer implements ServerModel.Told {
     /** What the box is told of an order beyond the request itself. */
     record Known(Policy.Effect effect, long work, long window) { }
 
@@ -53,9 +53,9 @@
     private final int cellNumber;
     private final Function<String, Known> orders;
     private final SplittableRandom chance;
-    private final BoxModel model;
+    private final ServerModel model;
     private final Set<Connection> connections = new HashSet<>();
-    private final Map<Line, BoxModel.Job> jobs = new HashMap<>();
+    private final Map<Line, ServerModel.Job> jobs = new HashMap<>();
     private Http3Side http3;                        // null where it speaks HTTP/1.1 only
     private Channel listener;
     private InetSocketAddress address;
@@ -72,8 +72,8 @@
     private long declined;
     private long falls;
 
-    StandInBox(String name, Scenario.Boxes kind, Scenario.Cold cold, EventLoop loop, LoopLag lag, Clock clock,
-            Ledger ledger, Cell cell, int cellNumber, Function<String, Known> orders,
+    StandInServer(String name, Scenario.Boxes kind, Scenario.Cold cold, EventLoop loop, LoopLag lag,
+            Clock clock, Ledger ledger, Cell cell, int cellNumber, Function<String, Known> orders,
             SplittableRandom chance) {
         this.name = name;
         this.kind = kind;
@@ -86,7 +86,7 @@
         this.cellNumber = cellNumber;
         this.orders = orders;
         this.chance = chance;
-        this.model = new BoxModel(kind, cold, clock.now());
+        this.model = new ServerModel(kind, cold, clock.now());
     }
 
     String name() {
@@ -191,7 +191,7 @@
         if (listener != null) {
             listener.close();
         }
-        for (BoxModel.Job lost : model.die()) {
+        for (ServerModel.Job lost : model.die()) {
             ledger.note(lost.order, (lost.isRunning() ? "lost in the middle on " : "lost unbegun on ") + name,
                 clock.now());
         }
@@ -247,7 +247,7 @@
     // ---------------------------------------------------------------- the model's news
 
     @Override
-    public void begun(BoxModel.Job job, long at) {
+    public void begun(ServerModel.Job job, long at) {
         Known known = orders.apply(job.order);
         boolean effect = known.effect() != Policy.Effect.KEYED
             || cell.first(((Asked) job.context).key, known.window(), at);
@@ -255,7 +255,7 @@
     }
 
     @Override
-    public void done(BoxModel.Job job, long at) {
+    public void done(ServerModel.Job job, long at) {
         served++;
         Asked asked = (Asked) job.context;
         jobs.remove(asked.line);
@@ -314,7 +314,7 @@
             line.answer(500, "error", false);
             return;
         }
-        BoxModel.Job job = new BoxModel.Job(id, known.work(), new Asked(line, key));
+        ServerModel.Job job = new ServerModel.Job(id, known.work(), new Asked(line, key));
         jobs.put(line, job);
         if (refusing || !model.arrive(job, now, this)) {
             declined++;
@@ -330,7 +330,7 @@
 
     /** Who asked has left: what has not begun is dropped. */
     void gone(Line line) {
-        BoxModel.Job job = jobs.remove(line);
+        ServerModel.Job job = jobs.remove(line);
         if (job != null) {
             model.forget(job);
             ledger.note(job.order, "given up at " + name, clock.now());
@@ -374,7 +374,7 @@
         }
 
         private void take(FullHttpRequest request) {
-            StandInBox.this.take(this, request.headers().get("Req-Id"), request.uri(),
+            StandInServer.this.take(this, request.headers().get("Req-Id"), request.uri(),
                 String.valueOf(request.headers().get("Idempotency-Key")), begunAt);
         }
 
--- a/src/test/java/junctionhead/HouseTest.java
+++ b/src/test/java/junctionhead/HouseTest.java
@@ -52,7 +52,7 @@
                 RetryTokens.class).or()
             .haveFullyQualifiedName("junctionhead.core.Standstill").or()
             .haveNameMatching("junctionhead\\.membership\\.(Versions|Silence)(\\$.*)?").or().haveNameMatching(
-                "junctionhead\\.rig\\.(Ledger|BoxModel|Cell|Script|Report|Scenario|Tallies)(\\$.*)?")
+                "junctionhead\\.rig\\.(Ledger|ServerModel|Cell|Script|Report|Scenario|RequestCounts)(\\$.*)?")
             .or().haveFullyQualifiedName("junctionhead.rig.FleetPlan")
             .or().haveNameMatching("junctionhead\\.rig\\.fleet\\.(Shares|Spread|Trouble)(\\$.*)?")
             .or().haveFullyQualifiedName("junctionhead.upstream.AttemptRules")
--- a/src/test/java/junctionhead/rig/StandstillsTest.java
+++ b/src/test/java/junctionhead/rig/HeldProcessesTest.java
@@ -8,15 +8,17 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** Whatever the machines of processes that stand still accepted gets its one answer when they go on. */
-class StandstillsTest {
+class HeldProcessesTest {
     /** In service with two hundred requests in the sockets of each. */
     @ParameterizedTest
     @Timeout(300)
     @CsvSource({"START, 0, 25", "SERVICE, 144, 92", "SIGHUP, 60, 25", "DRAIN, 60, 25", "RESTS, 60, 25",
         "EVACUATION, 60, 25", "SIGTERM, 60, 25", "STOPPING, 60, 25"})
-    void nothingIsLost(Standstills.When when, int kept, int fresh) throws IOException, InterruptedException {
-        try (Standstills run = new Standstills(DemoTest.CLASS_PATH, new Standstills.Size(3, kept, fresh))) {
-            Standstills.Outcome outcome = run.play(when);
+    void nothingIsLost(HeldProcesses.When when, int kept, int fresh)
+            throws IOException, InterruptedException {
+        HeldProcesses.Size size = new HeldProcesses.Size(3, kept, fresh);
+        try (HeldProcesses run = new HeldProcesses(DemoTest.CLASS_PATH, size)) {
+            HeldProcesses.Outcome outcome = run.play(when);
             assertTrue(outcome.isClean(), () -> outcome.summary() + " | " + outcome.log());
         }
     }
--- a/src/test/java/junctionhead/rig/BoxModelTest.java
+++ b/src/test/java/junctionhead/rig/ServerModelTest.java
@@ -8,24 +8,24 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-class BoxModelTest implements BoxModel.Told {
+class ServerModelTest implements ServerModel.Told {
     private static final Scenario.Cold COLD = new Scenario.Cold(0.5, 1_000_000, 3, 100_000, 1);
     private final List<String> told = new ArrayList<>();
-    private final BoxModel box =
-        new BoxModel(new Scenario.Boxes("b", 1, 2, 2.0, 1, "a", "m", 1), COLD, 0);
+    private final ServerModel box =
+        new ServerModel(new Scenario.Boxes("b", 1, 2, 2.0, 1, "a", "m", 1), COLD, 0);
 
     @Override
-    public void begun(BoxModel.Job job, long at) {
+    public void begun(ServerModel.Job job, long at) {
         told.add(at + " " + job.order + " begun");
     }
 
     @Override
-    public void done(BoxModel.Job job, long at) {
+    public void done(ServerModel.Job job, long at) {
         told.add(at + " " + job.order + " done");
     }
 
-    private BoxModel.Job job(String order, long work) {
-        return new BoxModel.Job(order, work, null);
+    private ServerModel.Job job(String order, long work) {
+        return new ServerModel.Job(order, work, null);
     }
 
     @Test
@@ -45,7 +45,7 @@
     void whoGivesUpAWaitingOneKeepsItFromRunningForGood() {
         box.arrive(job("a", 2_000), 0, this);
         box.arrive(job("b", 2_000), 0, this);
-        BoxModel.Job waiting = job("c", 1_000);
+        ServerModel.Job waiting = job("c", 1_000);
         box.arrive(waiting, 0, this);
         box.forget(waiting);
         box.advance(10_000, this);
