HTTP/3: a request whose client has closed its connection is not sent on

With the loop held while a client asks and closes, its request was sent on: a QUIC connection drains for some round trips behind CONNECTION_CLOSE, and its streams closed only then. Now requests count as left when the close is read, and what is read of its streams behind that is not taken. Http3FrontTest with 1 and 30 requests, red before (sent on both times), passes, with the rest of that class.

--- a/src/main/java/junctionhead/front/http3/Connection.java
+++ b/src/main/java/junctionhead/front/http3/Connection.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http3.Http3;
 import io.netty.handler.codec.http3.Http3ServerConnectionHandler;
 import io.netty.handler.codec.quic.QuicChannel;
+import io.netty.handler.codec.quic.QuicConnectionCloseEvent;
 import io.netty.handler.codec.quic.QuicStreamChannel;
 import io.netty.handler.ssl.SslHandshakeCompletionEvent;
 import java.net.InetSocketAddress;
@@ -34,6 +35,7 @@
     private long next;                              // the least id that has not been seen
     private long refused = Long.MAX_VALUE;          // streams from here on are rejected
     private boolean late;
+    private boolean clientClosed;
 
     Connection(Http3Server server, QuicChannel channel) {
         this.server = server;
@@ -77,6 +79,11 @@
             server.sessions.established(session, System.nanoTime());
         }
         context.fireUserEventTriggered(event);
+        if (event instanceof QuicConnectionCloseEvent) {
+            // Its streams close some round trips later, when the connection has drained (RFC 9000, 10.2.2).
+            clientClosed = true;
+            List.copyOf(streams).forEach(RequestStream::clientClosed);
+        }
         if (late && event instanceof SslHandshakeCompletionEvent) {
             goAway(server.isClosing() ? 0 : LAST);
         }
@@ -95,6 +102,11 @@
         stream.pipeline().addLast(request);
     }
 
+    /** Whether its client has closed it; what is still read of its streams is not served. */
+    boolean isClientClosed() {
+        return clientClosed;
+    }
+
     /** Its client has ended a stream before our answer. */
     void cancelled() {
         if (!resets.ended(System.nanoTime())) {
--- a/src/main/java/junctionhead/front/http3/RequestStream.java
+++ b/src/main/java/junctionhead/front/http3/RequestStream.java
@@ -70,15 +70,20 @@
         }
     }
 
-    /** The stream is closed, whoever did it. */
-    void closed() {
-        drop();
-        sent(unread);
+    /** Its client has closed the connection: nobody waits for the answer. */
+    void clientClosed() {
         Runnable left = gone;
         gone = null;
         if (left != null) {
             left.run();
         }
+    }
+
+    /** The stream is closed, whoever did it. */
+    void closed() {
+        drop();
+        sent(unread);
+        clientClosed();
         if (!answered && !rejected) {
             ended();
         }
@@ -195,6 +200,10 @@
     // ---------------------------------------------------------------- what it asks for
 
     private void take() {
+        if (connection.isClientClosed()) {
+            drop();
+            return;
+        }
         String path = head.path();
         if (path != null && path.startsWith("/-/")) {
             boolean asked = path.equals("/-/ready") && head.method().equals("GET");
--- a/src/test/java/junctionhead/node/Http3FrontTest.java
+++ b/src/test/java/junctionhead/node/Http3FrontTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -26,10 +27,13 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import tech.kwik.flupke.Http3Client;
 
 /** Clients over HTTP/3, good ones and bad ones, with an upstream that speaks HTTP/1.1. */
 class Http3FrontTest extends Http3Fixture {
+    private static final long HELD_MILLIS = 150;    // for the client's datagrams to leave
+
     @Test
     void aRequestGoesOnAndItsAnswerComesBack() throws Exception {
         start();
@@ -322,6 +326,39 @@
         assertTrue(upstream.isEmpty());
     }
 
+    /** The loop is held while a client asks and closes its connection: also more than is read in one pass. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 30})
+    void aRequestWhoseClientClosesWhileTheLoopIsHeldIsNotSentOn(int requests) throws Exception {
+        start();
+        H3Client client = client();
+        client.get("before");
+        upstream.next().answer(200, "", "ok");
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch begun = new CountDownLatch(1);
+        node.loop().execute(() -> {
+            begun.countDown();
+            try {
+                held.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        begun.await();
+        for (int i = 0; i < requests; i++) {
+            client.get("gone" + i);
+        }
+        client.quic.close(true, 0x100, Unpooled.EMPTY_BUFFER).sync();
+        TimeUnit.MILLISECONDS.sleep(HELD_MILLIS);
+        held.countDown();
+        H3Client.Got after = client().get("after");
+        FakeUpstream.Got asked = upstream.next();
+        assertEquals("after", asked.header("req-id"));
+        asked.answer(200, "", "ok");
+        assertEquals("200 ok", after.end());
+        assertTrue(upstream.isEmpty());
+    }
+
     @Test
     void aNewCertificateIsShownToNewConnectionsOnly() throws Exception {
         start();
