--- a/review/common/review/Kit.java
+++ b/review/common/review/Kit.java
@@ -501,8 +501,7 @@
     static byte[] readBody(InputStream in, Head head, int most) throws IOException {
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         if ("chunked".equalsIgnoreCase(head.field("transfer-encoding"))) {
-            for (int size = Integer.parseInt(Head.line(in).strip(), 16); size > 0;
-                    size = Integer.parseInt(Head.line(in).strip(), 16)) {
+            for (int size = chunkSize(in); size > 0; size = chunkSize(in)) {
                 body.write(in.readNBytes(size));
                 Head.line(in);
             }
@@ -518,6 +517,14 @@
         return body.toByteArray();
     }
 
+    private static int chunkSize(InputStream in) throws IOException {
+        String line = Head.line(in);
+        if (line == null) {
+            throw new EOFException("within a chunked body");
+        }
+        return Integer.parseInt(line.strip(), 16);
+    }
+
     /** An answer as a client has received it. */
     public static final class Answer {
         public int status;
