--- a/review/2/SlowReader.java
+++ b/review/3/SlowReader.java
@@ -8,7 +8,8 @@
 
 /** Long answers, each on a connection that its client wants closed behind it, to clients that take seconds to read. */
 public final class SlowReader {
-    private static final int CLIENTS = 100;
+    private static final int ROUNDS = 3;
+    private static final int CLIENTS = 100; // in each round
     private static final int SHORTEST = 3_300_000;
     private static final int STEP = 15_000;
     private static final int PAUSE_MILLIS = 3_000;
@@ -21,7 +22,7 @@
     }
 
     private static int size(int client) {
-        return SHORTEST + client * STEP;
+        return SHORTEST + client % CLIENTS * STEP + client / CLIENTS * STEP / ROUNDS;
     }
 
     private static byte[] body(int client) {
@@ -47,14 +48,16 @@
         balancer.launch();
         balancer.awaitReady();
         List<String> broken = Collections.synchronizedList(new ArrayList<>());
-        List<Thread> clients = new ArrayList<>();
-        for (int i = 0; i < CLIENTS; i++) {
-            int client = i;
-            clients.add(Kit.start(() -> call(kit, balancer, client, broken)));
-            Kit.sleep(30);
-        }
-        for (Thread client : clients) {
-            client.join();
+        for (int round = 0; round < ROUNDS; round++) {
+            List<Thread> clients = new ArrayList<>();
+            for (int i = 0; i < CLIENTS; i++) {
+                int client = round * CLIENTS + i;
+                clients.add(Kit.start(() -> call(kit, balancer, client, broken)));
+                Kit.sleep(30);
+            }
+            for (Thread client : clients) {
+                client.join();
+            }
         }
         if (!balancer.isAlive()) {
             broken.add("the balancer has ended");
