Hold the review's checks to the rule, and end every process however a script ends

The script now keeps the ids and the folder, ends by id what is left, and the test ends itself when its script has been killed. A request counts as lost only once it was sent whole on an open connection; a request that meets the end of a resting connection is sent once more; a cut-off answer is judged only where its server wrote it whole. All three were stricter than the rule before.

--- a/review/1/SmallPieces.java
+++ b/review/1/SmallPieces.java
@@ -100,8 +100,10 @@
             List<String> cutOff,
             AtomicInteger served,
             AtomicInteger refused) {
+        boolean taken = false; // its last byte has been written to a connection that the balancer's machine accepted
         try (Kit.Client client = new Kit.Client(balancer.address, 0)) {
             client.send(Kit.request("POST", id, KIND, 2500, "Content-Length: 5\r\n") + "order");
+            taken = true;
             kit.note("client: sent " + id);
             client.socket.setSoTimeout(20_000);
             Kit.Answer answer = client.receive(20_000);
@@ -114,8 +116,10 @@
                 cutOff.add(id + ": other bytes than the server's");
             }
         } catch (IOException | RuntimeException e) {
-            kit.note("client: " + id + ": " + e);
-            cutOff.add(id + ": " + e);
+            kit.note("client: " + id + (taken ? ": lost: " : ": could not send: ") + e);
+            if (taken) {
+                cutOff.add(id + ": " + e);
+            }
         }
     }
 }
--- a/review/2/CommandsAhead.java
+++ b/review/2/CommandsAhead.java
@@ -1,6 +1,7 @@
 package review;
 
 import java.io.IOException;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -69,35 +70,50 @@
         return broken;
     }
 
-    // One request at a time; it ends at the first that is lost, or that can't be sent.
+    // One request at a time; it ends at the first that is lost, or that can't be sent. A request that meets the end of a
+    // resting connection is sent once more on a new one, as the pages have it.
     private static void sound(
             Kit kit, Kit.Balancer balancer, String name, AtomicInteger answered, AtomicInteger lost) {
         Kit.Client client = null;
         try {
             for (int i = 0; i < SOUND_REQUESTS; i++) {
                 String id = name + "-" + i;
-                if (client == null) {
-                    client = new Kit.Client(balancer.address, 0);
-                }
-                client.send(command(id, ""));
-                long sent = Kit.millis();
-                try {
-                    Kit.Answer answer = client.receive(DEADLINE_MILLIS + LATE_MILLIS);
-                    answered.incrementAndGet();
-                    kit.note("client: " + id + ": " + answer.status + " in " + (Kit.millis() - sent) + " ms");
-                    if ("close".equals(answer.head.field("connection"))) {
-                        client.close();
+                boolean rested = client != null;
+                boolean again;
+                do {
+                    again = false;
+                    long sent = -1;
+                    try {
+                        if (client == null) {
+                            client = new Kit.Client(balancer.address, 0);
+                        }
+                        client.send(command(id, ""));
+                        sent = Kit.millis();
+                        Kit.Answer answer = client.receive(DEADLINE_MILLIS + LATE_MILLIS);
+                        answered.incrementAndGet();
+                        kit.note("client: " + id + ": " + answer.status + " in " + (Kit.millis() - sent) + " ms");
+                        if ("close".equals(answer.head.field("connection"))) {
+                            client.close();
+                            client = null;
+                        }
+                    } catch (IOException e) {
+                        boolean silent = e instanceof SocketTimeoutException;
+                        kit.note("client: " + id + ": " + e + (sent < 0 ? ", not sent" : ", after " + (Kit.millis() - sent) + " ms"));
+                        close(client);
                         client = null;
+                        if (rested && !silent) {
+                            rested = false;
+                            again = true;
+                        } else {
+                            if (sent >= 0) {
+                                lost.incrementAndGet();
+                            }
+                            return;
+                        }
                     }
-                } catch (IOException e) {
-                    lost.incrementAndGet();
-                    kit.note("client: " + id + ": lost after " + (Kit.millis() - sent) + " ms: " + e);
-                    return;
-                }
+                } while (again);
                 Kit.sleep(50);
             }
-        } catch (IOException e) {
-            kit.note("client: " + name + ": can't send: " + e); // not taken, so not lost
         } finally {
             close(client);
         }
--- a/review/3/SlowReader.java
+++ b/review/3/SlowReader.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** Long answers, each on a connection that its client wants closed behind it, to clients that take seconds to read. */
 public final class SlowReader {
@@ -13,6 +15,7 @@
     private static final int SHORTEST = 3_300_000;
     private static final int STEP = 15_000;
     private static final int PAUSE_MILLIS = 3_000;
+    private static final Set<String> WRITTEN = ConcurrentHashMap.newKeySet(); // whole answers, as the servers see it
     private static final String KIND = "nova-narudzba";
 
     private SlowReader() {}
@@ -39,6 +42,7 @@
             discovery.set(kit.new Server("s-" + i, i / 4, (server, request) -> {
                 kit.note("server " + server.uid + ": runs " + request.id());
                 request.answer(200, "", body(Integer.parseInt(request.id().substring(1))));
+                WRITTEN.add(request.id());
                 kit.note("server " + server.uid + ": has written its whole answer to " + request.id());
             }).target("in_service"));
         }
@@ -67,8 +71,10 @@
 
     private static void call(Kit kit, Kit.Balancer balancer, int number, List<String> broken) {
         String id = "r" + number;
+        boolean taken = false; // its last byte has been written to a connection that the balancer's machine accepted
         try (Kit.Client client = new Kit.Client(balancer.address, 0)) {
             client.send(Kit.request("POST", id, KIND, 2500, "Connection: close\r\nContent-Length: 5\r\n") + "order");
+            taken = true;
             kit.note("client: sent " + id);
             long began = Kit.millis();
             Kit.Head head = client.receiveHead(3_000);
@@ -101,14 +107,18 @@
             }
             kit.note("client: " + id + ": " + count + " of " + expected.length + " bytes in "
                     + (Kit.millis() - began) + " ms: " + end);
-            if (count < expected.length) {
+            if (count < expected.length && !WRITTEN.contains(id)) {
+                kit.note("client: " + id + ": not judged: its server has not written all of its answer");
+            } else if (count < expected.length) {
                 broken.add(id + ": cut off after " + count + " of " + expected.length + " bytes: " + end);
             } else if (!same) {
                 broken.add(id + ": other bytes than the server's");
             }
         } catch (IOException e) {
             kit.note("client: " + id + ": " + e);
-            broken.add(id + ": no answer: " + e);
+            if (taken) {
+                broken.add(id + ": no answer: " + e);
+            }
         }
     }
 }
--- a/review/common/review/Kit.java
+++ b/review/common/review/Kit.java
@@ -44,13 +44,25 @@
     private final PrintWriter record;
     private final Path scratch;
     private final List<Balancer> balancers = new ArrayList<>();
+    private boolean ended; // guarded by balancers
     private final AtomicInteger names = new AtomicInteger();
 
     /** {@code folder}: the case's folder, below the repository's root. */
     public Kit(Path folder) throws IOException {
         root = folder.toAbsolutePath().normalize().getParent().getParent();
         record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")), true);
-        scratch = Files.createTempDirectory("review");
+        String given = System.getenv("REVIEW_SCRATCH"); // made and removed by common/run-case
+        scratch = given == null ? Files.createTempDirectory("review") : Path.of(given);
+        String script = System.getenv("REVIEW_SCRIPT");
+        if (script != null) {
+            long id = Long.parseLong(script);
+            start(() -> {
+                while (ProcessHandle.of(id).isPresent()) {
+                    sleep(100);
+                }
+                System.exit(2); // the script has been killed: the shutdown hook ends what was started
+            });
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
         note("trouble=" + (TROUBLE ? 1 : 0));
     }
@@ -70,9 +82,13 @@
         System.out.println(line);
     }
 
+    // Processes start and are ended under one lock, and none starts afterwards.
     private void killAll() {
-        for (Balancer balancer : balancers) {
-            balancer.kill();
+        synchronized (balancers) {
+            ended = true;
+            for (Balancer balancer : balancers) {
+                balancer.kill();
+            }
         }
         try (var files = Files.walk(scratch)) {
             files.sorted(Comparator.reverseOrder()).map(Path::toFile).forEach(File::delete);
@@ -160,7 +176,13 @@
             builder.environment().put("ROUTER_DISCOVERY", discovery);
             builder.environment().put("ROUTER_CONFIG", config.toString());
             builder.redirectErrorStream(true);
-            process = builder.start();
+            synchronized (balancers) {
+                if (ended) {
+                    throw new CannotRun("interrupted");
+                }
+                process = builder.start();
+                Files.writeString(scratch.resolve("process." + process.pid()), "");
+            }
             Process started = process;
             note(name + ": started, process " + started.pid());
             start(() -> {
@@ -244,7 +266,9 @@
 
     public Balancer balancer(Discovery service) throws IOException {
         Balancer balancer = new Balancer(service);
-        balancers.add(balancer);
+        synchronized (balancers) {
+            balancers.add(balancer);
+        }
         return balancer;
     }
 
