Hold clients' input on the heap within the memory budget, and reject what can't be held

Cause: what is read and not decoded stays in direct buffers, limited for each connection only; when the 16 MB of run are used up, the JDK waits half a second for each further buffer, on the event loop. Heads of pipelined requests were not counted at all.

Change: SharedReceiveBuffer reads all sockets of a side through one direct buffer and copies reads to the heap in their length. Connections report undecoded input, heads and unsent responses to MemoryBudget; a pipelined request that can't be held is rejected in its turn and not forwarded. Reading goes on, so that a close by the client is noticed. The writing of responses moves to ConnectionOutput, whose behaviour is unchanged here.

--- a/src/main/java/loadbalancer/downstream/http1/ConnectionInput.java
+++ b/src/main/java/loadbalancer/downstream/http1/ConnectionInput.java
@@ -3,7 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.nio.AbstractNioChannel.NioUnsafe;
 import io.netty.handler.codec.http.HttpResponseEncoder;
-import io.netty.handler.codec.http.HttpResponseStatus;
+import loadbalancer.http1.SharedReceiveBuffer;
 
 /** The inbound handlers of one connection. Must be used on the event loop. */
 final class ConnectionInput {
@@ -11,10 +11,10 @@
     static final String TOO_MANY_PIPELINED = "too many requests sent ahead";
 
     private static final int MAX_READS_PER_CALL = 32; // each read fills up to four buffers of 32 KiB; 4 MiB in total
-    private static final int MAX_BUFFERED_BYTES = 64 * 1024; // input after the pipelined requests
 
     private final Http1ClientConnection connection;
     private final Channel channel;
+    private final SharedReceiveBuffer receiveBuffer;
     private final ReadTracker readTracker;
     private final PipeliningLimiter pipeliningLimiter;
     private final RequestDecoder decoder = new RequestDecoder();
@@ -24,15 +24,22 @@
         this.connection = connection;
         this.channel = channel;
         this.readTracker = new ReadTracker(connection);
-        this.pipeliningLimiter = new PipeliningLimiter(
-                MAX_BUFFERED_BYTES, () -> connection.onMalformed(HttpResponseStatus.BAD_REQUEST, TOO_MANY_PIPELINED));
+        this.pipeliningLimiter = new PipeliningLimiter(connection);
+        this.receiveBuffer = listener.receiveBuffer();
         this.aggregator = new RequestAggregator(connection, listener.memory());
     }
 
     /** Adds the inbound and outbound handlers of the connection to the channel's pipeline. */
     void addHandlers() {
         channel.pipeline()
-                .addLast(readTracker, pipeliningLimiter, decoder, new HttpResponseEncoder(), aggregator, connection);
+                .addLast(
+                        receiveBuffer.copier(),
+                        readTracker,
+                        pipeliningLimiter,
+                        decoder,
+                        new HttpResponseEncoder(),
+                        aggregator,
+                        connection);
     }
 
     /**
@@ -81,6 +88,11 @@
         pipeliningLimiter.resume();
     }
 
+    /** The bytes of heap that input takes which has been read and not been passed on as a request. */
+    int bufferedBytes() {
+        return pipeliningLimiter.bufferedBytes() + decoder.bufferedBytes() + aggregator.headBytes();
+    }
+
     /** Whether a long body is being received. */
     boolean isStreaming() {
         return aggregator.isStreaming();
--- a/src/main/java/loadbalancer/downstream/http1/Http1ClientConnection.java
+++ b/src/main/java/loadbalancer/downstream/http1/Http1ClientConnection.java
@@ -1,12 +1,8 @@
 package loadbalancer.downstream.http1;
 
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.socket.DuplexChannel;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -29,6 +25,7 @@
         CLOSING
     }
 
+    private static final long NO_RETRY_AFTER = 0;
     private static final String CLOSED_BY_PEER = "peer";
     private static final String PEER_RESET = "peer reset";
     private static final int DEFAULT_MAX_DRAINED_BYTES = 64 * 1024;
@@ -37,6 +34,8 @@
     private final Channel channel;
     private final ConnectionInput input;
     private final RequestQueue queue;
+    private final ConnectionOutput output;
+    private final ConnectionMemory memory;
     private final ConnectionTimeouts timeouts = new ConnectionTimeouts();
     private final ConnectionPermit permit;
     private final ReceiveProgress receiveProgress = new ReceiveProgress();
@@ -44,9 +43,8 @@
     // Why no further request is read, null before; becomes the last response if none has been written.
     private RequestFraming.Problem inputClosedReason;
     private Runnable clientClosedCallback; // runs if the client disconnects; null while no response is pending
-    private ResponseStreamer streamer; // of a long response until its last byte; else null
     private long maxDrainedBytes = DEFAULT_MAX_DRAINED_BYTES; // after the last response
-    private int unflushedResponses;
+    private boolean rejectingPipelined; // for want of memory, until no request is pipelined any more
     private String closeReason = CLOSED_BY_PEER;
 
     Http1ClientConnection(Http1Listener listener, Channel channel) {
@@ -54,6 +52,8 @@
         this.channel = channel;
         this.input = new ConnectionInput(this, channel, listener);
         this.queue = new RequestQueue(listener.memory().clientBodies());
+        this.output = new ConnectionOutput(this, channel, listener);
+        this.memory = new ConnectionMemory(listener.memory().budget(), input, queue, output);
         this.permit = listener.openPermit(this, channel);
         input.addHandlers();
     }
@@ -69,11 +69,11 @@
 
     /** Whether a response has not been written to the socket completely. */
     boolean hasUnsentResponse() {
-        return streamer != null || unflushedResponses > 0;
+        return output.hasUnsentResponse();
     }
 
     boolean isStreamingResponse() {
-        return streamer != null;
+        return output.isStreaming();
     }
 
     /** Closes the connection on behalf of the connection budget or the life cycle. */
@@ -81,7 +81,8 @@
         close("connection budget or life cycle");
     }
 
-    private void close(String reason) {
+    /** Closes the connection; {@code reason} is logged. */
+    void close(String reason) {
         if (channel.isActive()) {
             closeReason = reason;
             if (clientClosedCallback != null && !reason.equals(PEER_RESET)) {
@@ -108,8 +109,8 @@
                 && timeouts.isReceiveOverdue(receiveProgress.state(), nowNanos)) {
             onMalformed(HttpResponseStatus.REQUEST_TIMEOUT, "too slow");
         }
-        if (input.isStreaming() || streamer != null) {
-            long progress = input.streamedBytes() + (streamer == null ? 0 : streamer.progress());
+        if (input.isStreaming() || output.isStreaming()) {
+            long progress = input.streamedBytes() + output.progress();
             boolean readingPaused = input.isStreaming() && !input.isAutoRead();
             if (timeouts.isStalled(progress, readingPaused, nowNanos)) {
                 abortStream();
@@ -119,12 +120,9 @@
         }
     }
 
-    // The client cannot mistake the truncated message for a complete one; the rest of the body is cancelled.
     private void abortStream() {
-        if (streamer != null) {
-            ResponseStreamer aborted = streamer;
-            aborted.cancelSource();
-            streamFailed(aborted);
+        if (output.isStreaming()) {
+            output.abortStream();
         } else {
             close("request body stalled");
         }
@@ -134,12 +132,10 @@
     void onClosed() {
         abandonPendingResponse();
         input.discardBuffered();
-        if (streamer != null) {
-            streamer.cancelSource();
-            streamer = null;
-        }
+        output.cancelStream();
         queue.releaseServed();
         queue.releasePipelined();
+        memory.release();
     }
 
     private void abandonPendingResponse() {
@@ -175,6 +171,33 @@
         }
     }
 
+    // A pipelined request that can't be held is rejected in its turn. Reading goes on: with reading off, a close by the
+    // client would not be noticed, and its requests would be forwarded.
+    @Override
+    public Admission admit(long headBytes) {
+        if (serveState == ServeState.IDLE && queue.isEmpty()) {
+            return memory.mayHoldFirst(headBytes) ? Admission.ACCEPT : Admission.REFUSE;
+        }
+        boolean accepted = !rejectingPipelined && memory.mayHoldMore(headBytes);
+        return accepted ? Admission.ACCEPT : Admission.REJECT_IN_TURN;
+    }
+
+    /** Whether that many bytes of input may wait until pipelined requests have been served. */
+    boolean mayBuffer(int bytes) {
+        return memory.mayHoldMore(bytes);
+    }
+
+    /** Called when input can't wait for want of memory: it is decoded at once, and its requests are rejected. */
+    void inputExceedsMemory() {
+        rejectingPipelined = true;
+        input.resume();
+    }
+
+    /** Called after input has been handled. */
+    void inputHandled() {
+        memory.update();
+    }
+
     @Override
     public void onRequest(ReceivedRequest request) {
         if (request.bodyStream() != null) {
@@ -190,9 +213,9 @@
         if (queue.isFull()) { // this request had been read before input was paused
             queue.release(request);
             onMalformed(HttpResponseStatus.BAD_REQUEST, ConnectionInput.TOO_MANY_PIPELINED);
-        } else if (serveState != ServeState.IDLE || !channel.isWritable()) {
+        } else if (serveState != ServeState.IDLE || !mayRespondMore()) {
             queue.add(request);
-            if (queue.isFull()) {
+            if (queue.isFull() && !rejectingPipelined) {
                 input.pause(); // until the pipelined requests have been served
             }
         } else {
@@ -221,8 +244,8 @@
             return;
         }
         abandonPendingResponse();
-        if (streamer != null) {
-            abortStream(); // the response has begun
+        if (output.isStreaming()) {
+            output.abortStream(); // the response has begun
         } else {
             refuse(status, reason);
         }
@@ -252,9 +275,12 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        if (channel.isWritable()) {
-            scheduleNext();
-        }
+        scheduleNext();
+    }
+
+    // A client that does not read its responses gets no further ones.
+    private boolean mayRespondMore() {
+        return channel.isWritable() && memory.mayRespond();
     }
 
     @Override
@@ -265,7 +291,11 @@
     private void serve(ReceivedRequest request) {
         serveState = ServeState.SERVING;
         queue.startServing(request);
-        listener.requestHandler().handle(this, request);
+        if (request.isRejected()) {
+            respond(FinalResponse.rejected(NO_RETRY_AFTER), HttpUtil.isKeepAlive(request.head()));
+        } else {
+            listener.requestHandler().handle(this, request);
+        }
     }
 
     /** Marks a response as pending; {@code onClose} runs if the client disconnects before it is written. */
@@ -287,17 +317,11 @@
         // A client may send its whole long body before it reads the response.
         maxDrainedBytes = input.isStreaming() ? ProxyRequest.MAX_STREAMED_BODY_BYTES : DEFAULT_MAX_DRAINED_BYTES;
         queue.releaseServed();
-        boolean moreInput = hasMoreInput();
-        boolean staysOpen =
-                listener.budget().responseSent(permit, mayStayOpen(keepAlive), moreInput, System.nanoTime());
-        FullHttpResponse message = ResponseHeads.complete(response, listener.alternativeService(), staysOpen);
-        if (!staysOpen) {
-            closeInputAfterLast(message.status());
-        }
-        responseWritten(channel.writeAndFlush(message), staysOpen, moreInput);
+        output.respond(response, mayStayOpen(keepAlive));
     }
 
-    private boolean hasMoreInput() {
+    /** Whether input of another request, or its error response, is waiting. */
+    boolean hasMoreInput() {
         return receiveProgress.isReceiving() || inputClosedReason != null || input.hasBufferedRequest();
     }
 
@@ -305,22 +329,19 @@
         return keepAlive && listener.keepsConnections() && !input.isStreaming();
     }
 
-    // Done before the response is written, so that input which was read after the request is not decoded.
-    private void closeInputAfterLast(HttpResponseStatus status) {
+    /** Called before the last response is written, so that input which was read after its request is not decoded. */
+    void closeInputAfterLast(HttpResponseStatus status) {
         if (inputClosedReason == null) {
             inputClosedReason = new RequestFraming.Problem(status, "closing after the last response");
             input.discardAll();
         }
     }
 
-    // Called when the last byte of a response has been passed to the channel.
-    private void responseWritten(ChannelFuture written, boolean staysOpen, boolean moreInput) {
-        unflushedResponses++;
-        written.addListener(done -> unflushedResponses--);
+    /** Called when the last byte of a response has been passed to the channel. */
+    void responsePassedOn(boolean staysOpen, boolean moreInput) {
         if (!staysOpen) {
             // An immediate close with unread input would reset the connection before the client reads the response.
             serveState = ServeState.CLOSING;
-            written.addListener(done -> ((DuplexChannel) channel).shutdownOutput());
             return;
         }
         serveState = ServeState.IDLE;
@@ -331,46 +352,24 @@
         scheduleNext();
     }
 
+    /** Called when the last byte of a response has been written to the socket. */
+    void responseSent() {
+        memory.update();
+        scheduleNext();
+    }
+
     /** Writes the head and the first bytes of a long response; the rest is streamed as the client reads it. */
     void streamResponse(UpstreamResponse response, boolean keepAlive, boolean http10) {
         clientClosedCallback = null;
         queue.releaseServed();
-        boolean selfDelimited = ResponseHeads.isSelfDelimited(response, http10);
-        boolean mayStayOpen = mayStayOpen(keepAlive) && selfDelimited;
         timeouts.streamStarted(System.nanoTime());
-        streamer =
-                new ResponseStreamer(this, channel, listener.memory().budget(), response.remainingBody(), mayStayOpen);
-        streamer.start(ResponseHeads.streamed(response, selfDelimited, mayStayOpen), response.body());
-    }
-
-    /** Called when a long response has been received completely from the upstream. */
-    void streamCompleted(ResponseStreamer completed) {
-        if (streamer != completed) {
-            return;
-        }
-        streamer = null;
-        boolean moreInput = hasMoreInput();
-        boolean staysOpen =
-                listener.budget().responseSent(permit, completed.isKeepAlive(), moreInput, System.nanoTime());
-        if (!staysOpen) {
-            closeInputAfterLast(HttpResponseStatus.OK);
-        }
-        responseWritten(completed.writeEnd(), staysOpen, moreInput);
-    }
-
-    /** Called when the rest of a long response is lost; a TCP reset tells the client that it is incomplete. */
-    void streamFailed(ResponseStreamer failed) {
-        if (streamer == failed) {
-            streamer = null;
-            channel.config().setOption(ChannelOption.SO_LINGER, 0);
-            close("response stream failed");
-        }
+        output.stream(response, mayStayOpen(keepAlive), http10);
     }
 
     // As a separate task: with many pipelined requests that are answered immediately, recursion would overflow the
     // stack and delay all other clients.
     private void scheduleNext() {
-        if (serveState == ServeState.IDLE && (inputClosedReason != null || !queue.isEmpty())) {
+        if (serveState == ServeState.IDLE && (inputClosedReason != null || !queue.isEmpty()) && mayRespondMore()) {
             serveState = ServeState.SERVING;
             channel.eventLoop().execute(this::serveNext);
         }
@@ -381,6 +380,7 @@
         if (!channel.isActive()) {
             return;
         }
+        rejectingPipelined &= !queue.isEmpty();
         if (next != null) {
             serve(next);
         } else if (inputClosedReason != null) {
--- a/src/main/java/loadbalancer/downstream/http1/Http1Listener.java
+++ b/src/main/java/loadbalancer/downstream/http1/Http1Listener.java
@@ -1,7 +1,6 @@
 package loadbalancer.downstream.http1;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -22,6 +21,7 @@
 import loadbalancer.connections.ConnectionPermit;
 import loadbalancer.downstream.ClientAddress;
 import loadbalancer.eventloop.ReadBeforeTimers;
+import loadbalancer.http1.SharedReceiveBuffer;
 import loadbalancer.lifecycle.LifeCycle;
 import loadbalancer.lifecycle.ShutdownDrain;
 import loadbalancer.proxy.Dispatcher;
@@ -38,10 +38,6 @@
 public final class Http1Listener {
     private static final int BACKLOG = 1024;
     private static final long TIMEOUT_CHECK_INTERVAL_MILLIS = 200; // between checks of the timeouts of all connections
-    private static final int MIN_READ_BYTES = 64;
-    private static final int INITIAL_READ_BYTES = 2_048;
-    private static final int MAX_READ_BYTES = 32 << 10;
-    private static final int MAX_READS_PER_PASS = 4; // no connection delays the reads of the others
     private static final int MAX_IDLE_CLOSES_PER_TASK = 8; // in one task of the event loop
 
     private final EventLoop loop;
@@ -49,6 +45,7 @@
     private final ConnectionBudget budget;
     private final Consumer<String> log;
     private final MessageMemory memory;
+    private final SharedReceiveBuffer receiveBuffer;
     private final Set<Http1ClientConnection> connections = new LinkedHashSet<>(); // oldest first
     private final LifeCycle lifeCycle;
     private final Http1RequestHandler requestHandler;
@@ -73,6 +70,7 @@
             LifeCycle lifeCycle,
             Consumer<String> log) {
         this.memory = memory;
+        this.receiveBuffer = new SharedReceiveBuffer(memory.budget());
         this.lifeCycle = lifeCycle;
         this.loop = loop;
         this.dispatcher = dispatcher;
@@ -122,10 +120,8 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(
-                        ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
-                                .maxMessagesPerRead(MAX_READS_PER_PASS))
+                .childOption(ChannelOption.ALLOCATOR, SharedReceiveBuffer.HEAP_ALLOCATOR)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffer)
                 .childHandler(connectionInitializer());
     }
 
@@ -271,6 +267,11 @@
         return budget;
     }
 
+    /** Reads the sockets of all connections. */
+    SharedReceiveBuffer receiveBuffer() {
+        return receiveBuffer;
+    }
+
     /** The memory of the process for messages in transit. */
     MessageMemory memory() {
         return memory;
--- a/src/main/java/loadbalancer/downstream/http1/PipeliningLimiter.java
+++ b/src/main/java/loadbalancer/downstream/http1/PipeliningLimiter.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 
@@ -12,17 +13,21 @@
  * would be forwarded. Must be used on the event loop.
  */
 final class PipeliningLimiter extends ChannelInboundHandlerAdapter {
-    private final int maxBufferedBytes;
-    private final Runnable onOverflow;
+    private static final int MAX_BUFFERED_BYTES = 64 * 1024; // input after the pipelined requests
+
+    private final Http1ClientConnection connection;
     private final ArrayDeque<Object> buffered = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private int bufferedBytes;
     private boolean paused;
 
-    /** {@code onOverflow} runs if more than {@code maxBufferedBytes} would have to be buffered. */
-    PipeliningLimiter(int maxBufferedBytes, Runnable onOverflow) {
-        this.maxBufferedBytes = maxBufferedBytes;
-        this.onOverflow = onOverflow;
+    PipeliningLimiter(Http1ClientConnection connection) {
+        this.connection = connection;
+    }
+
+    /** The bytes that are buffered. */
+    int bufferedBytes() {
+        return bufferedBytes;
     }
 
     boolean isPaused() {
@@ -67,9 +72,14 @@
             current.fireChannelRead(message);
             return;
         }
-        if (bufferedBytes + byteCount(message) > maxBufferedBytes) {
+        if (bufferedBytes + byteCount(message) > MAX_BUFFERED_BYTES) {
             ReferenceCountUtil.release(message);
-            onOverflow.run();
+            connection.onMalformed(HttpResponseStatus.BAD_REQUEST, ConnectionInput.TOO_MANY_PIPELINED);
+            return;
+        }
+        if (!connection.mayBuffer(byteCount(message))) {
+            connection.inputExceedsMemory();
+            current.fireChannelRead(message);
             return;
         }
         bufferedBytes += byteCount(message);
--- a/src/main/java/loadbalancer/downstream/http1/ReadTracker.java
+++ b/src/main/java/loadbalancer/downstream/http1/ReadTracker.java
@@ -35,6 +35,7 @@
             context.fireChannelRead(message);
         } finally {
             reading = false;
+            connection.inputHandled();
         }
     }
 }
--- a/src/main/java/loadbalancer/downstream/http1/RequestAggregator.java
+++ b/src/main/java/loadbalancer/downstream/http1/RequestAggregator.java
@@ -34,6 +34,9 @@
         /** A well-formed head has been received; its body follows. */
         void onHead(HttpRequest head);
 
+        /** Decides what becomes of the request whose head takes {@code headBytes} of heap. */
+        Admission admit(long headBytes);
+
         /** A request has been received: a short one completely, a long one with the first bytes of its body. */
         void onRequest(ReceivedRequest request);
 
@@ -50,6 +53,8 @@
     private HttpRequest head;
     private byte[] body;
     private int bodyLength; // bytes of the body received so far
+    private int headBytes; // of heap that the present head takes
+    private boolean rejecting; // the content of the present request is dropped
     private boolean stopped;
     private StreamedBody stream; // of a long body, until its last byte has been received
 
@@ -83,7 +88,17 @@
         head = request;
         body = new byte[0];
         bodyLength = 0;
+        headBytes = RequestHeadSize.heapBytes(request);
+        Admission admission = listener.admit(headBytes);
+        if (admission == Admission.REFUSE) {
+            refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "no memory for the head");
+            return;
+        }
+        rejecting = admission == Admission.REJECT_IN_TURN;
         listener.onHead(request);
+        if (rejecting) {
+            return;
+        }
         long contentLength = HttpUtil.getContentLength(request, -1L);
         if (!stopped && contentLength > ProxyRequest.MAX_BUFFERED_BODY_BYTES) {
             startStream(channel, contentLength);
@@ -95,6 +110,12 @@
             stream.append(content, last);
             return;
         }
+        if (rejecting) {
+            if (last) {
+                rejectRequest();
+            }
+            return;
+        }
         buffer(channel, content);
         if (!stopped && last) {
             if (stream != null) {
@@ -105,6 +126,12 @@
         }
     }
 
+    private void rejectRequest() {
+        ReceivedRequest rejected = ReceivedRequest.rejected(HttpUtil.isKeepAlive(head));
+        head = null;
+        listener.onRequest(rejected);
+    }
+
     private void completeRequest() {
         HttpRequest request = head;
         head = null;
@@ -150,6 +177,11 @@
         listener.onRequest(ReceivedRequest.streamed(request, firstBytes, stream, contentLength));
     }
 
+    /** The bytes of heap that the head of a request takes whose body is being received; 0 without one. */
+    int headBytes() {
+        return head == null ? 0 : headBytes;
+    }
+
     /** Whether a long body is being received. */
     boolean isStreaming() {
         return stream != null;
--- a/src/main/java/loadbalancer/downstream/http1/RequestDecoder.java
+++ b/src/main/java/loadbalancer/downstream/http1/RequestDecoder.java
@@ -27,6 +27,11 @@
         return undecoded.isReadable() && undecoded.forEachByte(b -> b <= ' ') >= 0; // not only empty lines
     }
 
+    /** The bytes of heap that undecoded input takes. */
+    int bufferedBytes() {
+        return internalBuffer().capacity();
+    }
+
     // The inherited method removes Content-Length and continues. An upstream that used Content-Length instead would
     // find another request inside the body of this one (request smuggling).
     @Override
--- a/src/main/java/loadbalancer/downstream/http1/RequestQueue.java
+++ b/src/main/java/loadbalancer/downstream/http1/RequestQueue.java
@@ -6,14 +6,19 @@
 
 /**
  * The requests of one connection that have been received and not answered: the request that is being served, and the
- * pipelined requests after it (RFC 9112, section 9.3.2). Reserves and releases the memory of their bodies. Must be used
+ * pipelined requests after it (RFC 9112, section 9.3.2). Reserves and releases the memory of their bodies, and counts that
+ * of their heads. Must be used
  * on the event loop.
  */
 final class RequestQueue {
     private static final int MAX_PIPELINED = 16;
+    private static final int MAX_REJECTED = 256; // pipelined requests that are not held and will be rejected
 
     private final BodyMemoryBudget bodyMemory;
     private final ArrayDeque<ReceivedRequest> pipelined = new ArrayDeque<>();
+    private int rejectedCount; // among the pipelined requests
+    private int pipelinedHeadBytes;
+    private int servedHeadBytes;
     private int servedBodyBytes; // reserved for the body of the request that is being served
     private BodyStream servedBody; // the streamed body of the request that is being served, or null
 
@@ -28,7 +33,12 @@
 
     /** Whether the limit of pipelined requests is reached. */
     boolean isFull() {
-        return pipelined.size() >= MAX_PIPELINED;
+        return pipelined.size() - rejectedCount >= MAX_PIPELINED || rejectedCount >= MAX_REJECTED;
+    }
+
+    /** The bytes of heap that the heads of all requests take. */
+    int headBytes() {
+        return pipelinedHeadBytes + servedHeadBytes;
     }
 
     /** Reserves the memory for the body of a request that is added, served or released next. */
@@ -38,15 +48,26 @@
 
     void add(ReceivedRequest request) {
         pipelined.add(request);
+        count(request, 1);
+    }
+
+    private void count(ReceivedRequest request, int change) {
+        pipelinedHeadBytes += change * request.headBytes();
+        rejectedCount += request.isRejected() ? change : 0;
     }
 
     /** Removes and returns the pipelined request to serve next; null if there is none. */
     ReceivedRequest poll() {
-        return pipelined.poll();
+        ReceivedRequest next = pipelined.poll();
+        if (next != null) {
+            count(next, -1);
+        }
+        return next;
     }
 
     /** Marks the request as the one that is being served. */
     void startServing(ReceivedRequest request) {
+        servedHeadBytes = request.headBytes();
         servedBodyBytes = request.body().length;
         servedBody = request.bodyStream();
     }
@@ -55,6 +76,7 @@
     void releaseServed() {
         bodyMemory.release(servedBodyBytes);
         servedBodyBytes = 0;
+        servedHeadBytes = 0;
         cancelUnstarted(servedBody);
         servedBody = null;
     }
@@ -67,13 +89,15 @@
 
     /** Removes and releases the pipelined request that was received last. */
     void releaseLast() {
-        release(pipelined.removeLast());
+        ReceivedRequest last = pipelined.removeLast();
+        count(last, -1);
+        release(last);
     }
 
     /** Removes and releases all pipelined requests. */
     void releasePipelined() {
         while (!pipelined.isEmpty()) {
-            release(pipelined.poll());
+            release(poll());
         }
     }
 
--- a/src/main/java/loadbalancer/downstream/http1/ResponseStreamer.java
+++ b/src/main/java/loadbalancer/downstream/http1/ResponseStreamer.java
@@ -12,19 +12,15 @@
  * Must be used on the event loop.
  */
 final class ResponseStreamer implements BodyStream.Subscriber {
-    private final Http1ClientConnection connection;
+    private final ConnectionOutput output;
     private final BodyStream source;
     private final boolean keepAlive;
     private final BodyWriter writer;
 
     /** {@code keepAlive}: whether the connection may be used for another request after this response. */
     ResponseStreamer(
-            Http1ClientConnection connection,
-            Channel channel,
-            MemoryBudget memory,
-            BodyStream source,
-            boolean keepAlive) {
-        this.connection = connection;
+            ConnectionOutput output, Channel channel, MemoryBudget memory, BodyStream source, boolean keepAlive) {
+        this.output = output;
         this.source = source;
         this.keepAlive = keepAlive;
         this.writer = new BodyWriter(channel, memory, source);
@@ -62,11 +58,11 @@
 
     @Override
     public void onComplete() {
-        connection.streamCompleted(this);
+        output.streamCompleted(this);
     }
 
     @Override
     public void onError() {
-        connection.streamFailed(this);
+        output.streamFailed(this);
     }
 }
--- /dev/null
+++ b/src/main/java/loadbalancer/http1/SharedReceiveBuffer.java
@@ -0,0 +1,83 @@
+package loadbalancer.http1;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.DefaultMaxMessagesRecvByteBufAllocator;
+import java.util.Arrays;
+import loadbalancer.proxy.MemoryBudget;
+
+/**
+ * Reads the sockets of one event loop into one buffer, from which each read is copied in pieces of its exact length. A
+ * read that waits to be decoded so takes heap for its bytes alone, and no direct memory: when direct memory is used up,
+ * the JDK waits for a garbage collection at each allocation, on the event loop. Must be used on the event loop.
+ */
+public final class SharedReceiveBuffer extends DefaultMaxMessagesRecvByteBufAllocator {
+    /** For all buffers of a connection: on the heap, and with the length that is asked for. */
+    public static final ByteBufAllocator HEAP_ALLOCATOR = new UnpooledByteBufAllocator(false, true);
+
+    private static final int MAX_READ_BYTES = 32 << 10;
+    private static final int MAX_READS_PER_PASS = 4; // no connection delays the reads of the others
+    private static final int MAX_PIECE_BYTES = 4 << 10; // what is left of a piece keeps all of it
+
+    private final MemoryBudget memory;
+    private final ByteBuf buffer = Unpooled.directBuffer(MAX_READ_BYTES, MAX_READ_BYTES);
+    private final ChannelHandler copier = new Copier();
+
+    /** Creates a buffer; a read becomes shorter where {@code memory} is scarce. */
+    public SharedReceiveBuffer(MemoryBudget memory) {
+        this.memory = memory;
+        maxMessagesPerRead(MAX_READS_PER_PASS);
+    }
+
+    /** The handler that copies the reads; has to be the first one of each connection that uses this allocator. */
+    public ChannelHandler copier() {
+        return copier;
+    }
+
+    @Override
+    @SuppressWarnings("deprecation") // the return type of the interface
+    public Handle newHandle() {
+        return new ReceiveHandle();
+    }
+
+    private final class ReceiveHandle extends MaxMessageHandle {
+        @Override
+        public int guess() {
+            return (int) Math.min(MAX_READ_BYTES, memory.maxAccountBytes());
+        }
+
+        @Override
+        public ByteBuf allocate(ByteBufAllocator allocator) {
+            return buffer.clear().retain();
+        }
+
+        @Override
+        public void attemptedBytesRead(int bytes) {
+            super.attemptedBytesRead(Math.min(bytes, guess()));
+        }
+    }
+
+    @ChannelHandler.Sharable
+    private static final class Copier extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (!(message instanceof ByteBuf read)) {
+                context.fireChannelRead(message);
+                return;
+            }
+            byte[] bytes = new byte[read.readableBytes()];
+            read.readBytes(bytes);
+            read.release(); // before the copy is handled, which may lead to another read
+            for (int offset = 0; offset < bytes.length && context.channel().isActive(); offset += MAX_PIECE_BYTES) {
+                int length = Math.min(MAX_PIECE_BYTES, bytes.length - offset);
+                byte[] piece = length == bytes.length ? bytes : Arrays.copyOfRange(bytes, offset, offset + length);
+                context.fireChannelRead(Unpooled.wrappedBuffer(piece));
+            }
+        }
+    }
+}
--- a/src/main/java/loadbalancer/server/LoadBalancerServer.java
+++ b/src/main/java/loadbalancer/server/LoadBalancerServer.java
@@ -14,6 +14,7 @@
 import loadbalancer.policy.JsqDasPolicy;
 import loadbalancer.policy.Policy;
 import loadbalancer.proxy.Addresses;
+import loadbalancer.proxy.MessageMemory;
 import loadbalancer.proxy.RequestLog;
 
 /** One balancer's process, put together from its parts; and the command that runs it. */
@@ -33,7 +34,7 @@
             BiFunction<Policy.Settings, Long, Policy> policyFactory,
             boolean warmUp,
             Consumer<String> log) {
-        this(config, policyFactory, warmUp, null, log);
+        this(config, policyFactory, warmUp, null, new MessageMemory(), log);
     }
 
     /** The same with other protocols beside HTTP/1.1; {@code extension} may be null. */
@@ -43,7 +44,18 @@
             boolean warmUp,
             ServerExtension extension,
             Consumer<String> log) {
-        components = new ServerComponents(config, policyFactory, extension, log);
+        this(config, policyFactory, warmUp, extension, new MessageMemory(), log);
+    }
+
+    /** The same with a limited memory for messages in transit. */
+    LoadBalancerServer(
+            Config config,
+            BiFunction<Policy.Settings, Long, Policy> policyFactory,
+            boolean warmUp,
+            ServerExtension extension,
+            MessageMemory memory,
+            Consumer<String> log) {
+        components = new ServerComponents(config, policyFactory, extension, memory, log);
         HotRestartCoordinator hotRestart = new HotRestartCoordinator(components);
         readiness = new ReadinessTracker(components, hotRestart, !warmUp);
         ConfiguredEndpointSource endpoints = new ConfiguredEndpointSource(components, readiness);
--- a/src/main/java/loadbalancer/server/ServerComponents.java
+++ b/src/main/java/loadbalancer/server/ServerComponents.java
@@ -31,7 +31,7 @@
     final LifeCycle lifeCycle = new LifeCycle(System.nanoTime());
     final ConnectionBudget budget;
     /** For messages in transit. */
-    final MessageMemory memory = new MessageMemory();
+    final MessageMemory memory;
 
     final Dispatcher dispatcher;
     final Http1ConnectionPool upstreams;
@@ -44,7 +44,9 @@
             Config config,
             BiFunction<Policy.Settings, Long, Policy> policyFactory,
             ServerExtension extension,
+            MessageMemory memory,
             Consumer<String> log) {
+        this.memory = memory;
         this.config = config;
         this.log = log;
         taskFailures = new TaskFailures(log);
--- a/src/main/java/loadbalancer/upstream/http1/Http1ConnectionPool.java
+++ b/src/main/java/loadbalancer/upstream/http1/Http1ConnectionPool.java
@@ -1,7 +1,6 @@
 package loadbalancer.upstream.http1;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -16,6 +15,7 @@
 import loadbalancer.connections.ConnectionBudget;
 import loadbalancer.connections.Direction;
 import loadbalancer.connections.IdleTimeout;
+import loadbalancer.http1.SharedReceiveBuffer;
 import loadbalancer.policy.Policy;
 import loadbalancer.policy.Policy.Outcome;
 import loadbalancer.proxy.AttemptTransport;
@@ -33,15 +33,12 @@
  * dialled, and when idle ones are closed. Each carries one request at a time. On the event loop.
  */
 public final class Http1ConnectionPool implements AttemptTransport {
-    private static final int MAX_READS_PER_PASS = 4; // no connection keeps the others waiting
-    private static final int RECEIVE_BUFFER_MIN_BYTES = 64;
-    private static final int RECEIVE_BUFFER_FIRST_BYTES = 2_048;
-    private static final int RECEIVE_BUFFER_MAX_BYTES = 32 << 10;
     private static final int DEFAULT_CONNECT_MILLIS = 1_000; // where the settings give no limit
 
     final EventLoop loop;
     final ConnectionBudget budget;
     final MemoryBudget memory;
+    final SharedReceiveBuffer receiveBuffer;
     final Clock clock;
     final PendingUpdates updates;
     private final Bootstrap bootstrap;
@@ -89,6 +86,7 @@
         this.boot = boot;
         this.budget = limits.connections();
         this.memory = limits.memory();
+        this.receiveBuffer = new SharedReceiveBuffer(memory);
         this.clock = clock;
         this.idleTimeout = idleTimeout;
         this.bootstrap = bootstrap();
@@ -100,11 +98,8 @@
         Bootstrap created = new Bootstrap()
                 .group(loop)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis())
-                .option(
-                        ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator(
-                                        RECEIVE_BUFFER_MIN_BYTES, RECEIVE_BUFFER_FIRST_BYTES, RECEIVE_BUFFER_MAX_BYTES)
-                                .maxMessagesPerRead(MAX_READS_PER_PASS));
+                .option(ChannelOption.ALLOCATOR, SharedReceiveBuffer.HEAP_ALLOCATOR)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffer);
         if (sharedAddress == null) {
             created.option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.ALLOW_HALF_CLOSURE, true);
         }
--- a/src/main/java/loadbalancer/upstream/http1/Http1UpstreamConnection.java
+++ b/src/main/java/loadbalancer/upstream/http1/Http1UpstreamConnection.java
@@ -82,7 +82,11 @@
                     @Override
                     protected void initChannel(Channel opened) {
                         opened.pipeline()
-                                .addLast(new HttpRequestEncoder(), responseDecoder.messageDecoder(), responseDecoder);
+                                .addLast(
+                                        pool.receiveBuffer.copier(),
+                                        new HttpRequestEncoder(),
+                                        responseDecoder.messageDecoder(),
+                                        responseDecoder);
                     }
                 })
                 .connect(address);
--- a/src/test/java/loadbalancer/downstream/http1/RequestAggregatorTest.java
+++ b/src/test/java/loadbalancer/downstream/http1/RequestAggregatorTest.java
@@ -32,6 +32,11 @@
                     @Override
                     public void onHead(HttpRequest head) {}
 
+                    @Override
+                    public Admission admit(long headBytes) {
+                        return Admission.ACCEPT;
+                    }
+
                     @Override
                     public void onRequest(ReceivedRequest request) {
                         bodyStream = request.bodyStream();
--- /dev/null
+++ b/src/test/java/loadbalancer/server/PipeliningCrowdTest.java
@@ -0,0 +1,178 @@
+package loadbalancer.server;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.lang.management.BufferPoolMXBean;
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import loadbalancer.proxy.MemoryBudget;
+import loadbalancer.proxy.MessageMemory;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * Many clients that send many requests at once. The failure guarded against: what had been read of them and had not been
+ * decoded used up the direct memory, for which the event loop waits, and their heads the heap; nobody was answered.
+ */
+@Timeout(60)
+class PipeliningCrowdTest extends ServerFixture {
+    private static final int HEAD_BYTES = 7_000;
+    private static final long MEMORY_BYTES = 600_000;
+    private static final long LARGE_MEMORY_BYTES = 4 << 20;
+
+    private static String request(String id) {
+        return request(id, "Cookie: " + "c".repeat(HEAD_BYTES) + "\r\n");
+    }
+
+    private static String request(String id, String fields) {
+        return "POST /api/k1 HTTP/1.1\r\nHost: b\r\nReq-Id: " + id + "\r\nReq-Kind: book\r\nReq-Deadline-Ms: 20000\r\n"
+                + fields + "Content-Length: 2\r\n\r\nok";
+    }
+
+    private static String requests(String name, int count) {
+        StringBuilder requests = new StringBuilder();
+        for (int i = 0; i < count; i++) {
+            requests.append(request(name + "-" + i));
+        }
+        return requests.toString();
+    }
+
+    private List<Client> crowd(int clients, int requests) throws IOException {
+        List<Client> crowd = new ArrayList<>();
+        for (int i = 0; i < clients; i++) {
+            Client client = new Client(at);
+            crowd.add(client);
+            Thread sender = new Thread(() -> {
+                try {
+                    client.send(requests("crowd" + crowd.indexOf(client), requests));
+                } catch (IOException e) {
+                    Thread.currentThread().interrupt(); // the test has ended
+                }
+            });
+            sender.setDaemon(true);
+            sender.start();
+        }
+        return crowd;
+    }
+
+    private Thread answerAll() {
+        Thread answering = new Thread(() -> {
+            try {
+                while (true) {
+                    upstream.next().answer(200, "", "ok");
+                }
+            } catch (InterruptedException | IOException e) {
+                Thread.currentThread().interrupt(); // the test has ended
+            }
+        });
+        answering.setDaemon(true);
+        answering.start();
+        return answering;
+    }
+
+    private static long directBytes() {
+        return ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class).stream()
+                .filter(pool -> pool.getName().equals("direct"))
+                .mapToLong(BufferPoolMXBean::getMemoryUsed)
+                .sum();
+    }
+
+    @Test
+    void inputThatWaitsTakesNoDirectMemory() throws Exception {
+        start();
+        module.server = null; // no request is answered
+        long before = directBytes();
+        List<Client> crowd = crowd(60, 18);
+        for (int i = 0; i < crowd.size(); i++) {
+            assertTrue(module.requests.poll(20, TimeUnit.SECONDS) != null);
+        }
+        TimeUnit.MILLISECONDS.sleep(500); // the rest of their input is read meanwhile
+        long taken = directBytes() - before;
+        assertTrue(taken < 1 << 20, "direct memory taken: " + taken);
+        for (Client client : crowd) {
+            client.close();
+        }
+    }
+
+    /** Each request gets its answer, in order; what can't be held is rejected and not forwarded. */
+    @Test
+    void everyRequestOfACrowdIsAnsweredWithinTheMemory() throws Exception {
+        memory = new MessageMemory(MEMORY_BYTES);
+        int clients = 40;
+        int requests = 14;
+        start();
+        Thread answering = answerAll();
+        List<Client> crowd = crowd(clients, requests);
+        long slowestMillis = 0;
+        try (Client sound = new Client(at)) {
+            for (int i = 0; i < 20; i++) {
+                long sentAt = System.nanoTime();
+                assertEquals(200, sound.send(request("sound-" + i, "")).status());
+                slowestMillis = Math.max(slowestMillis, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentAt));
+            }
+        }
+        assertTrue(slowestMillis < 5_000, "a client with one request at a time waited for ms: " + slowestMillis);
+        int served = 0;
+        int rejected = 0;
+        for (Client client : crowd) {
+            for (int i = 0; i < requests; i++) {
+                int status = client.status();
+                served += status == 200 ? 1 : 0;
+                rejected += status == 503 ? 1 : 0;
+            }
+            client.close();
+        }
+        assertEquals(clients * requests, served + rejected);
+        assertTrue(served >= clients, "served: " + served);
+        assertEquals(served + 20, module.requests.size(), "what is rejected for want of memory is not forwarded");
+        // Up to its minimum each connection may hold input, a decoded head and a response.
+        long maxBytes = MEMORY_BYTES + clients * 2L * MemoryBudget.MIN_ACCOUNT_BYTES;
+        assertTrue(
+                memory.budget().peakBytes() < maxBytes,
+                "peak: " + memory.budget().peakBytes());
+        answering.interrupt();
+    }
+
+    /** Reading goes on where memory is short: the close would not be noticed otherwise. */
+    @Test
+    void requestsOfAClientThatLeavesAreNotForwardedWhereMemoryIsShort() throws Exception {
+        memory = new MessageMemory(MEMORY_BYTES);
+        start();
+        onLoop(() -> memory.budget().open().hold(MEMORY_BYTES));
+        Client client = new Client(at).send(requests("gone", 14));
+        ScriptedUpstream.Got first = upstream.next();
+        client.close();
+        assertEquals("disconnected", module.next());
+        try {
+            first.answer(200, "", "ok");
+        } catch (IOException e) {
+            assertTrue(first.closedByPeer()); // the attempt has been cancelled
+        }
+        TimeUnit.MILLISECONDS.sleep(300);
+        assertEquals(1, module.requests.size());
+    }
+
+    /** Many short fields take many times their length of heap once they are decoded. */
+    @Test
+    void aHeadThatTakesTooMuchMemoryIsRefusedWhereMemoryIsShort() throws Exception {
+        memory = new MessageMemory(LARGE_MEMORY_BYTES);
+        start();
+        String head = request("r", "a:b\r\n".repeat(1_400));
+        try (Client client = new Client(at).send(head)) {
+            assertTrue(client.answerAfter(upstream).startsWith("HTTP/1.1 200"), "served where there is memory");
+        }
+        onLoop(() -> memory.budget().open().hold(LARGE_MEMORY_BYTES));
+        try (Client client = new Client(at).send(head)) {
+            assertEquals(503, client.status());
+            assertNull(client.answer());
+        }
+        try (Client client = new Client(at).send(request("r"))) {
+            assertTrue(client.answerAfter(upstream).startsWith("HTTP/1.1 200"), "a usual head is always held");
+        }
+    }
+}
--- a/src/test/java/loadbalancer/server/ServerFixture.java
+++ b/src/test/java/loadbalancer/server/ServerFixture.java
@@ -22,6 +22,7 @@
 import java.util.function.Consumer;
 import loadbalancer.config.Config;
 import loadbalancer.policy.Policy;
+import loadbalancer.proxy.MessageMemory;
 import loadbalancer.proxy.RequestLog;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -195,6 +196,7 @@
     final List<String> log = new ArrayList<>();
     Consumer<String> onLogLine = line -> {}; // behind each line of the log, on the thread that logs it
     boolean rehearse; // the balancer warms up first
+    MessageMemory memory = new MessageMemory();
     boolean pushed; // discovery pushes endpoint lists
     String endpoint; // of s1; null: the scripted upstream's
     ScriptedUpstream upstream;
@@ -326,7 +328,8 @@
         Map<String, Object> allLimits = (Map<String, Object>) settings.get("Limits");
         allLimits.putAll(limits);
         settings.put("MembershipMode", pushed ? "push" : "ask");
-        node = new LoadBalancerServer(config(sockets, settings, 0), (s, seed) -> module, rehearse, this::addToLog);
+        node = new LoadBalancerServer(
+                config(sockets, settings, 0), (s, seed) -> module, rehearse, null, memory, this::addToLog);
         at = node.start();
         assertEquals("PERSISTED [s1=UP]", module.next());
     }
