Count a response as sent when its last byte is written to the socket

Cause: ConnectionBudget.responseSent was called when the last byte had been handed to Netty; the connection lingered or was idle from then on and was closed with bytes unsent. Unread buffered responses ended their connection after 5 s, and a shutdown waited for them for 2 s.

Change: ConnectionOutput alone knows what has been sent. The budget decides by completeResponse and keeps the connection busy until responseSent; a streamed response counts as being streamed until its last byte is written. One rule ends a slow reader: no byte has left for 15 s, with a reset. HTTP/3 keeps to it too, and a shutdown waits for its responses.

--- a/src/main/java/loadbalancer/connections/ConnectionBudget.java
+++ b/src/main/java/loadbalancer/connections/ConnectionBudget.java
@@ -103,6 +103,9 @@
 
     /** Records that part of a client's request has arrived. */
     public void partialRequestReceived(ConnectionPermit permit, long nowNanos) {
+        if (permit.stateOnceSent == ConnectionPermit.State.IDLE) {
+            permit.stateOnceSent = ConnectionPermit.State.RECEIVING;
+        }
         if (permit.isIdle()) {
             recordIfReused(permit, nowNanos);
             table.enter(permit, ConnectionPermit.State.RECEIVING, nowNanos);
@@ -122,6 +125,7 @@
             reuse.recordFirstRequest(permit, shares.limits(), table.idleClientCount(), nowNanos);
         }
         permit.hasRequested = true;
+        permit.stateOnceSent = null;
         permit.requestsInFlight++;
         transitions.enter(permit, ConnectionPermit.State.BUSY, nowNanos);
     }
@@ -135,37 +139,53 @@
     }
 
     /**
-     * Records that a response is being sent to a client, and decides whether the connection stays open. If so, the
-     * connection becomes idle or continues with its other requests. Otherwise the response has to announce the close,
-     * and no further request is accepted.
+     * Records that the last byte of a response to a client is about to be written, and decides whether the connection
+     * stays open. Otherwise the response has to announce the close, and no further request is accepted. The connection is
+     * busy until {@link #responseSent}.
      *
      * @param keepAlive whether both the client and this server want to keep the connection open
      * @param hasPartialRequest whether part of another request has arrived, which must not be lost
      * @return whether the connection may stay open
      */
-    public boolean responseSent(ConnectionPermit permit, boolean keepAlive, boolean hasPartialRequest, long nowNanos) {
+    public boolean completeResponse(
+            ConnectionPermit permit, boolean keepAlive, boolean hasPartialRequest, long nowNanos) {
         metrics.recordResponse();
         permit.requestsInFlight = Math.max(0, permit.requestsInFlight - 1);
         if (permit.state == ConnectionPermit.State.CLOSED) {
             return false;
         }
+        permit.unsentResponses++;
+        transitions.enter(permit, ConnectionPermit.State.BUSY, nowNanos);
         if (keepAlive && (hasPartialRequest || permit.requestsInFlight > 0)) {
-            if (permit.requestsInFlight == 0) {
-                transitions.enter(permit, ConnectionPermit.State.RECEIVING, nowNanos);
-            }
+            permit.stateOnceSent = ConnectionPermit.State.RECEIVING;
             return true;
         }
         boolean staysOpen = keepAlive && retention.mayStayOpen(permit, nowNanos);
-        if (staysOpen) {
-            permit.idlePeriods++;
-        } else if (keepAlive) {
+        if (!staysOpen && keepAlive) {
             metrics.recordClosed(CloseReason.AFTER_RESPONSE);
             reuse.recordClosedAfterResponse();
         }
-        transitions.enter(permit, staysOpen ? ConnectionPermit.State.IDLE : ConnectionPermit.State.LINGERING, nowNanos);
+        permit.stateOnceSent = staysOpen ? ConnectionPermit.State.IDLE : ConnectionPermit.State.LINGERING;
         return staysOpen;
     }
 
+    /**
+     * Records that the last byte of a response to a client has been written to the socket. Once this holds for all
+     * responses of the connection and no request is in flight, the connection is idle or lingers.
+     */
+    public void responseSent(ConnectionPermit permit, long nowNanos) {
+        if (permit.state == ConnectionPermit.State.CLOSED) {
+            return;
+        }
+        permit.unsentResponses--;
+        if (permit.unsentResponses > 0 || permit.requestsInFlight > 0) {
+            return;
+        }
+        permit.idlePeriods += permit.stateOnceSent == ConnectionPermit.State.IDLE ? 1 : 0;
+        transitions.enter(permit, permit.stateOnceSent, nowNanos);
+        permit.stateOnceSent = null;
+    }
+
     /** Records that the request on a connection to an upstream is complete and the connection stays open. */
     public void becameIdle(ConnectionPermit permit, long nowNanos) {
         permit.requestsInFlight = 0;
--- a/src/main/java/loadbalancer/connections/ConnectionPermit.java
+++ b/src/main/java/loadbalancer/connections/ConnectionPermit.java
@@ -21,11 +21,11 @@
         SILENT,
         /** Part of a client's request has arrived. */
         RECEIVING,
-        /** At least one request is in flight. */
+        /** At least one request is in flight, or a response has not been written to the socket completely. */
         BUSY,
-        /** The connection is kept open after a response, for the next request. */
+        /** The connection is kept open after a response has been sent, for the next request. */
         IDLE,
-        /** The last response is being sent or read: no further request is accepted. */
+        /** The last response has been written to the socket, and is being read: no further request is accepted. */
         LINGERING,
         CLOSED
     }
@@ -43,6 +43,8 @@
     State state;
     long stateSinceNanos;
     int requestsInFlight;
+    int unsentResponses; // whose last byte is about to be written
+    State stateOnceSent; // the state once all responses have been sent; null if there is nothing to be sent
     int idlePeriods;
     int reuses; // idle periods that ended with another request
     boolean hasRequested;
@@ -74,9 +76,9 @@
         return state == State.NEW || state == State.SILENT || state == State.IDLE;
     }
 
-    /** Returns whether its last response has been written: requests that arrive later are not accepted. */
+    /** Returns whether its last response is being or has been written: requests that arrive later are not accepted. */
     public boolean isClosing() {
-        return state == State.LINGERING || state == State.CLOSED;
+        return state == State.LINGERING || state == State.CLOSED || stateOnceSent == State.LINGERING;
     }
 
     /** Returns how long the connection has been in its current state, in ns. */
--- a/src/main/java/loadbalancer/downstream/http1/ConnectionInput.java
+++ b/src/main/java/loadbalancer/downstream/http1/ConnectionInput.java
@@ -73,6 +73,10 @@
         channel.config().setAutoRead(true);
     }
 
+    void stopReading() {
+        channel.config().setAutoRead(false);
+    }
+
     /** Whether input is buffered instead of decoded. */
     boolean isPaused() {
         return pipeliningLimiter.isPaused();
--- a/src/main/java/loadbalancer/downstream/http1/ConnectionOutput.java
+++ b/src/main/java/loadbalancer/downstream/http1/ConnectionOutput.java
@@ -11,14 +11,15 @@
 import loadbalancer.proxy.UpstreamResponse;
 
 /**
- * The responses of one connection on their way to the client, and whether the connection stays open after them. Must be
- * used on the event loop.
+ * The responses of one connection on their way to the client, and whether the connection stays open after them. A response
+ * has been sent once its last byte has been written to the socket; until then the connection is neither idle nor closing,
+ * for the connection budget, the timeouts and the life cycle alike. Must be used on the event loop.
  */
 final class ConnectionOutput {
     private final Http1ClientConnection connection;
     private final Channel channel;
     private final Http1Listener listener;
-    private ResponseStreamer streamer; // of a long response until its last byte; else null
+    private ResponseStreamer streamer; // of a long response until it has been sent; else null
     private int unsentResponses;
 
     ConnectionOutput(Http1ClientConnection connection, Channel channel, Http1Listener listener) {
@@ -45,7 +46,9 @@
 
     /** A number that changes whenever bytes are streamed, or leave for the network. */
     long progress() {
-        return streamer == null ? 0 : streamer.progress();
+        ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
+        long written = unsent == null ? 0 : unsent.currentProgress() - unsent.totalPendingWriteBytes();
+        return written + (streamer == null ? 0 : streamer.progress());
     }
 
     /** Writes a complete response. {@code mayStayOpen}: whether client and life cycle allow the connection to. */
@@ -56,7 +59,13 @@
         if (!staysOpen) {
             connection.closeInputAfterLast(message.status());
         }
-        lastBytePassedOn(channel.writeAndFlush(message), staysOpen, moreInput);
+        unsentResponses++;
+        ChannelFuture written = channel.writeAndFlush(message);
+        connection.responsePassedOn(staysOpen, moreInput);
+        written.addListener(done -> {
+            unsentResponses--;
+            responseSent(staysOpen);
+        });
     }
 
     /** Writes the head and the first bytes of a long response; the rest is streamed as the client reads it. */
@@ -69,46 +78,49 @@
 
     /** Called when a long response has been received completely from the upstream. */
     void streamCompleted(ResponseStreamer completed) {
-        if (streamer != completed) {
+        if (streamer == completed) {
+            completed.writeEnd().addListener(done -> streamSent(completed));
+        }
+    }
+
+    private void streamSent(ResponseStreamer sent) {
+        if (streamer != sent) {
             return;
         }
         streamer = null;
         boolean moreInput = connection.hasMoreInput();
-        boolean staysOpen = decideStaysOpen(completed.isKeepAlive(), moreInput);
+        boolean staysOpen = decideStaysOpen(sent.isKeepAlive(), moreInput);
         if (!staysOpen) {
             connection.closeInputAfterLast(HttpResponseStatus.OK);
         }
-        lastBytePassedOn(completed.writeEnd(), staysOpen, moreInput);
+        connection.responsePassedOn(staysOpen, moreInput);
+        responseSent(staysOpen);
     }
 
     private boolean decideStaysOpen(boolean mayStayOpen, boolean moreInput) {
-        return listener.budget().responseSent(connection.permit(), mayStayOpen, moreInput, System.nanoTime());
+        return listener.budget().completeResponse(connection.permit(), mayStayOpen, moreInput, System.nanoTime());
     }
 
-    private void lastBytePassedOn(ChannelFuture written, boolean staysOpen, boolean moreInput) {
-        unsentResponses++;
-        written.addListener(done -> {
-            unsentResponses--;
-            if (!staysOpen) {
-                ((DuplexChannel) channel).shutdownOutput();
-            }
-            connection.responseSent();
-        });
-        connection.responsePassedOn(staysOpen, moreInput);
+    private void responseSent(boolean staysOpen) {
+        listener.budget().responseSent(connection.permit(), System.nanoTime());
+        if (!staysOpen) {
+            ((DuplexChannel) channel).shutdownOutput();
+        }
+        connection.responseSent();
     }
 
     /** Called when the rest of a long response is lost; a TCP reset tells the client that it is incomplete. */
     void streamFailed(ResponseStreamer failed) {
         if (streamer == failed) {
-            abortStream();
+            abort("response stream failed");
         }
     }
 
-    /** Resets the connection within a streamed response: the client cannot mistake the part for a complete one. */
-    void abortStream() {
+    /** Resets the connection within a response: the client cannot mistake the part for a complete one. */
+    void abort(String reason) {
         cancelStream();
         channel.config().setOption(ChannelOption.SO_LINGER, 0);
-        connection.close("response stream failed");
+        connection.close(reason);
     }
 
     /** Cancels the rest of a streamed response, if there is one, since the connection has been closed. */
--- a/src/main/java/loadbalancer/downstream/http1/ConnectionTimeouts.java
+++ b/src/main/java/loadbalancer/downstream/http1/ConnectionTimeouts.java
@@ -22,20 +22,18 @@
     // A client gets an error response or a close within 3 s; the interval between two checks adds to these timeouts.
     private static final long HEAD_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_400);
     private static final long BODY_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000); // of a buffered body
-    private static final long UNREAD_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(5_000);
     private static final long STALL_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(15_000);
 
     private long receivingSinceNanos = System.nanoTime();
-    private long lastProgress; // of streamed bodies, at the last check
+    private long lastProgress; // of streamed bodies and unsent responses, at the last check
     private long progressAtNanos;
-    private long unreadSinceNanos; // 0 while the client reads responses
 
     /** Starts the timeout of the current head, or of the body after it. */
     void receiveStarted(long nowNanos) {
         receivingSinceNanos = nowNanos;
     }
 
-    /** Starts the timeout of a streamed request or response body. */
+    /** Starts the timeout of a streamed request body, or of a response until it has been sent. */
     void streamStarted(long nowNanos) {
         progressAtNanos = nowNanos;
     }
@@ -48,13 +46,13 @@
     }
 
     /**
-     * Whether the streamed bodies of a connection have made no progress for too long.
+     * Whether the streamed bodies and the unsent responses of a connection have made no progress for too long. A client
+     * that pauses for some seconds and reads on is not stalled.
      *
      * @param progress a number that changes whenever bytes are received or sent
      * @param readingPaused whether this process has paused reading: the client does not cause the delay then
      */
     boolean isStalled(long progress, boolean readingPaused, long nowNanos) {
-        unreadSinceNanos = 0;
         if (progress != lastProgress || readingPaused) {
             lastProgress = progress;
             progressAtNanos = nowNanos;
@@ -62,17 +60,4 @@
         }
         return nowNanos - progressAtNanos > STALL_TIMEOUT_NANOS;
     }
-
-    /** Whether the client has not read responses for too long; {@code isWritable}: it reads them at the moment. */
-    boolean isReadOverdue(boolean isWritable, long nowNanos) {
-        if (isWritable) {
-            unreadSinceNanos = 0;
-            return false;
-        }
-        if (unreadSinceNanos == 0) {
-            unreadSinceNanos = nowNanos;
-            return false;
-        }
-        return nowNanos - unreadSinceNanos > UNREAD_TIMEOUT_NANOS;
-    }
 }
--- a/src/main/java/loadbalancer/downstream/http1/Http1ClientConnection.java
+++ b/src/main/java/loadbalancer/downstream/http1/Http1ClientConnection.java
@@ -67,13 +67,8 @@
         return receiveProgress.isReceiving() && serveState == ServeState.IDLE;
     }
 
-    /** Whether a response has not been written to the socket completely. */
-    boolean hasUnsentResponse() {
-        return output.hasUnsentResponse();
-    }
-
-    boolean isStreamingResponse() {
-        return output.isStreaming();
+    ConnectionOutput output() {
+        return output;
     }
 
     /** Closes the connection on behalf of the connection budget or the life cycle. */
@@ -109,20 +104,18 @@
                 && timeouts.isReceiveOverdue(receiveProgress.state(), nowNanos)) {
             onMalformed(HttpResponseStatus.REQUEST_TIMEOUT, "too slow");
         }
-        if (input.isStreaming() || output.isStreaming()) {
+        if (input.isStreaming() || output.hasUnsentResponse()) {
             long progress = input.streamedBytes() + output.progress();
             boolean readingPaused = input.isStreaming() && !input.isAutoRead();
             if (timeouts.isStalled(progress, readingPaused, nowNanos)) {
-                abortStream();
+                abortStalled();
             }
-        } else if (timeouts.isReadOverdue(channel.isWritable(), nowNanos)) {
-            close("response not read by client");
         }
     }
 
-    private void abortStream() {
-        if (output.isStreaming()) {
-            output.abortStream();
+    private void abortStalled() {
+        if (output.hasUnsentResponse()) {
+            output.abort("response not read by client");
         } else {
             close("request body stalled");
         }
@@ -245,7 +238,7 @@
         }
         abandonPendingResponse();
         if (output.isStreaming()) {
-            output.abortStream(); // the response has begun
+            output.abort("request body broken"); // the response has begun
         } else {
             refuse(status, reason);
         }
@@ -269,7 +262,11 @@
     /** Called with the total number of bytes that were discarded after the last request. */
     void inputDiscarded(long bytes) {
         if (serveState == ServeState.CLOSING && bytes > maxDrainedBytes) {
-            close("too much input after the last response");
+            if (output.hasUnsentResponse()) {
+                input.stopReading(); // the connection is closed some time after the response has been sent
+            } else {
+                close("too much input after the last response");
+            }
         }
     }
 
@@ -317,6 +314,9 @@
         // A client may send its whole long body before it reads the response.
         maxDrainedBytes = input.isStreaming() ? ProxyRequest.MAX_STREAMED_BODY_BYTES : DEFAULT_MAX_DRAINED_BYTES;
         queue.releaseServed();
+        if (!output.hasUnsentResponse()) {
+            timeouts.streamStarted(System.nanoTime());
+        }
         output.respond(response, mayStayOpen(keepAlive));
     }
 
--- a/src/main/java/loadbalancer/downstream/http1/Http1Listener.java
+++ b/src/main/java/loadbalancer/downstream/http1/Http1Listener.java
@@ -203,18 +203,23 @@
 
     /** Whether a connection is streaming a long response. */
     public boolean isStreamingResponse() {
-        return connections.stream().anyMatch(Http1ClientConnection::isStreamingResponse);
+        return connections.stream().anyMatch(c -> c.output().isStreaming());
     }
 
-    /** Observes the connections for the shutdown of a process that still owes {@code pendingResponses} responses. */
-    public ShutdownDrain.Observation observe(int pendingResponses) {
+    /**
+     * Observes the connections for the shutdown of a process.
+     *
+     * @param pendingResponses the responses that the process still owes
+     * @param otherUnsentResponses the responses of other listeners that have not been sent completely
+     */
+    public ShutdownDrain.Observation observe(int pendingResponses, int otherUnsentResponses) {
         int partialRequests = 0;
         int idle = 0;
-        int unsentResponses = 0;
+        int unsentResponses = otherUnsentResponses;
         for (Http1ClientConnection connection : connections) {
             partialRequests += connection.hasPartialRequest() ? 1 : 0;
             idle += connection.permit().isIdle() ? 1 : 0;
-            unsentResponses += connection.hasUnsentResponse() ? 1 : 0;
+            unsentResponses += connection.output().hasUnsentResponse() ? 1 : 0;
         }
         return new ShutdownDrain.Observation(
                 acceptedConnections, readCount, pendingResponses, partialRequests, idle, unsentResponses);
--- a/src/main/java/loadbalancer/downstream/http3/Http3ClientConnection.java
+++ b/src/main/java/loadbalancer/downstream/http3/Http3ClientConnection.java
@@ -135,6 +135,12 @@
         resetGuard.answered();
     }
 
+    /** The number of responses that have not been sent completely. */
+    int unsentResponses() {
+        return (int)
+                streams.stream().filter(Http3RequestStream::hasUnsentResponse).count();
+    }
+
     /** Ends the streams that exceed a timeout. */
     void checkTimeouts(long nowNanos) {
         for (Http3RequestStream stream : List.copyOf(streams)) {
--- a/src/main/java/loadbalancer/downstream/http3/Http3Listener.java
+++ b/src/main/java/loadbalancer/downstream/http3/Http3Listener.java
@@ -197,6 +197,13 @@
         connections().forEach(Http3ClientConnection::rejectNewStreams);
     }
 
+    /** The number of responses, over all connections, that have not been sent completely. */
+    public int unsentResponses() {
+        return connections.stream()
+                .mapToInt(Http3ClientConnection::unsentResponses)
+                .sum();
+    }
+
     /** Closes all connections; called once all accepted requests have been answered. */
     public void closeConnections() {
         if (!timeoutChecks.cancel(false)) {
--- a/src/main/java/loadbalancer/downstream/http3/Http3RequestStream.java
+++ b/src/main/java/loadbalancer/downstream/http3/Http3RequestStream.java
@@ -44,7 +44,8 @@
     }
 
     private static final long RECEIVE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000); // for a complete request
-    private static final long UNREAD_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(5_000); // to read a response
+    private static final long UNREAD_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(15_000); // to read a response
+    private static final long OPEN_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(5_000); // after the response was sent
 
     private final Http3ClientConnection connection;
     private final Http3Listener listener;
@@ -58,7 +59,7 @@
     private HeaderValidator.Head head;
     private Http3Headers headers;
     private Runnable clientClosedCallback; // runs if the client disconnects; null while no response is pending
-    private long respondedAtNanos;
+    private long respondedAtNanos; // when the response was written, and later when it was sent
     private long unreadBytes; // of the response, until they have been sent
 
     /** {@code rejectedByGoAway}: whether to reject the stream as not processed (RFC 9114, section 5.2). */
@@ -74,12 +75,18 @@
     void checkTimeouts(long nowNanos) {
         if (state == State.OPEN && !messageState.isComplete() && nowNanos - openedAtNanos > RECEIVE_TIMEOUT_NANOS) {
             respond(408, "too slow");
-        } else if (state == State.RESPONDED && nowNanos - respondedAtNanos > UNREAD_TIMEOUT_NANOS) {
+        } else if (state == State.RESPONDED
+                && nowNanos - respondedAtNanos > (hasUnsentResponse() ? UNREAD_TIMEOUT_NANOS : OPEN_TIMEOUT_NANOS)) {
             // The client has not read the response, or neither ends its request nor resets the stream.
             CodecErrors.reset(stream, Http3ErrorCodes.REQUEST_CANCELLED);
         }
     }
 
+    /** Whether a response has not been accepted by the client's flow-control window completely. */
+    boolean hasUnsentResponse() {
+        return state == State.RESPONDED && unreadBytes > 0;
+    }
+
     /** Called when the client has closed the connection: the response is not needed any more. */
     void onClientClosed() {
         Runnable pending = clientClosedCallback;
@@ -318,6 +325,7 @@
     private void responseSent(long bytes) {
         if (unreadBytes > 0) {
             unreadBytes = 0;
+            respondedAtNanos = System.nanoTime();
             listener.connectionLimiter().unread(connection.trackedConnection(), -bytes);
         }
     }
--- a/src/main/java/loadbalancer/lifecycle/ShutdownDrain.java
+++ b/src/main/java/loadbalancer/lifecycle/ShutdownDrain.java
@@ -50,8 +50,11 @@
     private static final int MAX_ACCEPTING_OBSERVATIONS = 80;
     /** Number of observations for which the remainder of a partial request is awaited. */
     private static final int MAX_PARTIAL_REQUEST_OBSERVATIONS = 80;
-    /** Number of observations for which the write of unsent responses is awaited. */
-    private static final int MAX_UNSENT_RESPONSE_OBSERVATIONS = 400;
+    /**
+     * Number of observations for which the write of unsent responses is awaited. They are made at intervals of at least
+     * 5 ms, so this is longer than a client may go without reading: its connection is closed before.
+     */
+    private static final int MAX_UNSENT_RESPONSE_OBSERVATIONS = 3_600;
 
     private Phase phase = Phase.ACCEPTING;
     private Observation previous;
--- a/src/main/java/loadbalancer/server/GracefulShutdown.java
+++ b/src/main/java/loadbalancer/server/GracefulShutdown.java
@@ -84,7 +84,8 @@
         // A response that is being streamed takes as long as it takes.
         int streamedResponses = server.listener.isStreamingResponse() ? 1 : 0;
         int pendingResponses = server.dispatcher.pendingResponses() + streamedResponses;
-        ShutdownDrain.Step step = drain.observe(server.listener.observe(pendingResponses));
+        ShutdownDrain.Step step =
+                drain.observe(server.listener.observe(pendingResponses, server.extension.unsentResponses()));
         if (step == ShutdownDrain.Step.EXIT) {
             end();
             return true;
--- a/src/main/java/loadbalancer/server/NoExtension.java
+++ b/src/main/java/loadbalancer/server/NoExtension.java
@@ -43,6 +43,11 @@
     @Override
     public void stopping() {}
 
+    @Override
+    public int unsentResponses() {
+        return 0;
+    }
+
     @Override
     public void close() {}
 
--- a/src/main/java/loadbalancer/server/ServerExtension.java
+++ b/src/main/java/loadbalancer/server/ServerExtension.java
@@ -57,6 +57,9 @@
         /** The balancer is about to stop or to be evacuated: clients are notified. */
         void stopping();
 
+        /** The number of responses that have not been sent to their clients completely. */
+        int unsentResponses();
+
         /** Accepts nothing more. */
         void close();
 
--- a/src/main/java/loadbalancer/server/http3/Http3ServerExtension.java
+++ b/src/main/java/loadbalancer/server/http3/Http3ServerExtension.java
@@ -111,6 +111,11 @@
             }
         }
 
+        @Override
+        public int unsentResponses() {
+            return listener == null ? 0 : listener.unsentResponses();
+        }
+
         @Override
         public void close() {
             if (listener != null) {
