Soak: long responses read slowly, crowds that pipeline; log memory and responses cut off

Change: by their seed, runs have responses in small chunks and of some MB that are read on after a second (every third), or crowds that send many requests at once and read nothing (every fifth, by the command only). Lines event=message_memory and event=response_cut_off, and their counts in event=stopped.

--- a/src/main/java/loadbalancer/downstream/http1/Http1ClientConnection.java
+++ b/src/main/java/loadbalancer/downstream/http1/Http1ClientConnection.java
@@ -171,8 +171,11 @@
         if (serveState == ServeState.IDLE && queue.isEmpty()) {
             return memory.mayHoldFirst(headBytes) ? Admission.ACCEPT : Admission.REFUSE;
         }
-        boolean accepted = !rejectingPipelined && memory.mayHoldMore(headBytes);
-        return accepted ? Admission.ACCEPT : Admission.REJECT_IN_TURN;
+        if (!rejectingPipelined && memory.mayHoldMore(headBytes)) {
+            return Admission.ACCEPT;
+        }
+        listener.memory().log().requestRejected();
+        return Admission.REJECT_IN_TURN;
     }
 
     /** Whether that many bytes of input may wait until pipelined requests have been served. */
--- a/src/main/java/loadbalancer/downstream/http1/Http1Listener.java
+++ b/src/main/java/loadbalancer/downstream/http1/Http1Listener.java
@@ -44,6 +44,7 @@
     private final Dispatcher dispatcher;
     private final ConnectionBudget budget;
     private final Consumer<String> log;
+    private final CutOffResponses cutOffResponses;
     private final MessageMemory memory;
     private final SharedReceiveBuffer receiveBuffer;
     private final Set<Http1ClientConnection> connections = new LinkedHashSet<>(); // oldest first
@@ -76,6 +77,7 @@
         this.dispatcher = dispatcher;
         this.budget = budget;
         this.log = log;
+        this.cutOffResponses = new CutOffResponses(log);
         this.requestHandler = new Http1RequestHandler(dispatcher, lifeCycle, settings);
         this.admission = new ConnectionAdmission(loop, dispatcher, budget, lifeCycle, log);
     }
@@ -246,6 +248,9 @@
     private void connectionClosed(Http1ClientConnection connection, long connectionNumber) {
         budget.closed(connection.permit(), System.nanoTime());
         connections.remove(connection);
+        if (connection.output().hasUnsentResponse()) {
+            cutOffResponses.record(connection.closeReason());
+        }
         dispatcher.requestLog().connection(Event.CONNECTION_CLOSED, connectionNumber, connection.closeReason());
         connection.onClosed();
         admission.update();
@@ -256,12 +261,21 @@
         List.copyOf(connections).forEach(c -> c.checkTimeouts(nowNanos));
         budget.closeExpired(nowNanos);
         admission.update();
-        String pressureChange = budget.pressureChangeLogLine(nowNanos);
-        if (pressureChange != null) {
-            log.accept(pressureChange);
+        logUnlessNull(budget.pressureChangeLogLine(nowNanos));
+        logUnlessNull(memory.log().changeLogLine(nowNanos));
+    }
+
+    private void logUnlessNull(String line) {
+        if (line != null) {
+            log.accept(line);
         }
     }
 
+    /** Returns a log text with the counts of the run. */
+    public String summary() {
+        return cutOffResponses.summary() + "; " + memory.log().summary();
+    }
+
     // ---------------------------------------------------------------- called by the connections
 
     ConnectionPermit openPermit(Http1ClientConnection connection, Channel channel) {
--- a/src/main/java/loadbalancer/proxy/MessageMemory.java
+++ b/src/main/java/loadbalancer/proxy/MessageMemory.java
@@ -11,6 +11,7 @@
     private static final long MAX_UNSUBSCRIBED_BODY_BYTES = 2 << 20;
 
     private final MemoryBudget budget;
+    private final MessageMemoryLog log;
     private final BodyMemoryBudget clientBodies;
     private final BodyMemoryBudget unsubscribedBodies;
 
@@ -22,6 +23,7 @@
     /** Creates a memory of {@code maxBytes} in all. */
     public MessageMemory(long maxBytes) {
         budget = new MemoryBudget(maxBytes);
+        log = new MessageMemoryLog(budget);
         clientBodies = new BodyMemoryBudget(Math.min(MAX_CLIENT_BODY_BYTES, maxBytes), budget.open());
         unsubscribedBodies = new BodyMemoryBudget(Math.min(MAX_UNSUBSCRIBED_BODY_BYTES, maxBytes), budget.open());
     }
@@ -31,6 +33,11 @@
         return budget;
     }
 
+    /** What is logged about this memory. */
+    public MessageMemoryLog log() {
+        return log;
+    }
+
     /** The limit on buffered bodies of clients, which are held until their requests are answered. */
     public BodyMemoryBudget clientBodies() {
         return clientBodies;
--- a/src/main/java/loadbalancer/server/GracefulShutdown.java
+++ b/src/main/java/loadbalancer/server/GracefulShutdown.java
@@ -37,7 +37,7 @@
         ReadBeforeTimers.schedule(server.loop, LINGER_MILLIS, TimeUnit.MILLISECONDS, () -> observe(drain));
         await();
         server.log.accept("event=stopped " + server.dispatcher.summary() + "; " + server.taskFailures.summary() + "; "
-                + server.budget.summary());
+                + server.budget.summary() + "; " + server.listener.summary());
         // With an inherited listener the end of the loop would close standard error too, and with it the last lines.
         if (!server.config.inherited()) {
             server.group.shutdownAsync();
--- a/src/test/java/loadbalancer/ArchitectureTest.java
+++ b/src/test/java/loadbalancer/ArchitectureTest.java
@@ -23,6 +23,7 @@
 import loadbalancer.proxy.Clock;
 import loadbalancer.proxy.DrainGrace;
 import loadbalancer.proxy.MemoryBudget;
+import loadbalancer.proxy.MessageMemoryLog;
 import loadbalancer.proxy.RequestMetrics;
 import loadbalancer.proxy.RequestValidator;
 import loadbalancer.proxy.SendGuard;
@@ -81,6 +82,7 @@
                         JsqDasPolicy.class,
                         BodyMemoryBudget.class,
                         MemoryBudget.class,
+                        MessageMemoryLog.class,
                         DrainGrace.class,
                         SendGuard.class,
                         SendPermit.class,
--- a/src/test/java/loadbalancer/testbed/FaultSoakTest.java
+++ b/src/test/java/loadbalancer/testbed/FaultSoakTest.java
@@ -7,7 +7,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Short fault soaks of few processes, the fourth with a crowd; long ones by the command {@code soak}. */
+/**
+ * Short fault soaks of few processes, the third with long responses that are read slowly, the fourth with a crowd; long
+ * ones by the command {@code soak}.
+ */
 class FaultSoakTest {
     @ParameterizedTest
     @Timeout(300)
--- a/src/testbed/java/loadbalancer/testbed/FaultSoak.java
+++ b/src/testbed/java/loadbalancer/testbed/FaultSoak.java
@@ -26,7 +26,8 @@
     /**
      * What came of one seed. It has more than seven components as it is one line of the summary.
      *
-     * @param crowded whether idle clients and bursts of connections took the processes' descriptors
+     * @param crowded whether idle clients, bursts of connections and pipelined requests took the processes' descriptors
+     *     and memory
      * @param left requests whose clients closed before a response
      * @param violations of the rules, and faults of the run itself
      * @param notes what is allowed and still worth a look, as last-resort responses
@@ -106,7 +107,7 @@
                 int kind = i % classes.size();
                 requests.add(new ArrivalSchedule.ScheduledRequest(
                         i,
-                        SoakClient.id(client, i),
+                        plan.requestId(client, i),
                         0,
                         kind,
                         "k",
@@ -115,7 +116,7 @@
         }
         testbed = new Testbed(classPath, plan.scenario(), requests);
         testbed.attributeDrainNotifications();
-        if (plan.isCrowded()) {
+        if (plan.isCrowded() && !plan.isPipelining()) {
             testbed.limitDescriptors(SoakCrowd.MAX_DESCRIPTORS);
         }
     }
@@ -132,7 +133,7 @@
         for (SoakPlan.ProcessFault fault : plan.faults()) {
             faults.schedule(() -> inject(fault), fault.atMicros(), TimeUnit.MICROSECONDS);
         }
-        if (plan.isCrowded()) {
+        if (plan.isCrowded() || plan.isPipelining()) {
             crowd = new SoakCrowd(plan, testbed, targets);
             crowd.start(begin + plan.durationMicros());
         }
@@ -174,7 +175,7 @@
         return new Outcome(
                 plan.seed(),
                 plan.processes(),
-                plan.isCrowded(),
+                crowd != null,
                 ledger.count(Ledger.RequestOutcome.SERVED),
                 ledger.count(Ledger.RequestOutcome.REFUSED),
                 ledger.count(Ledger.RequestOutcome.FAILED),
--- a/src/testbed/java/loadbalancer/testbed/Http1StandInListener.java
+++ b/src/testbed/java/loadbalancer/testbed/Http1StandInListener.java
@@ -26,12 +26,14 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import loadbalancer.proxy.Clock;
 
 /** The HTTP/1.1 listener and connections of a {@link StandInServer}. On the server's event loop. */
 final class Http1StandInListener {
     private static final int BACKLOG = 1024;
     private static final int MAX_BODY_BYTES = 1 << 17;
+    private static final long PAUSE_MILLIS = 200; // within a long response
 
     private final EventLoop loop;
     private final Clock clock;
@@ -163,6 +165,24 @@
             channel.writeAndFlush(response);
         }
 
+        @Override
+        public void respondAtLength(String requestId) {
+            LongResponse kind = LongResponse.of(requestId);
+            if (kind == null) {
+                respond(200, requestId, Execution.UNSPECIFIED);
+                return;
+            }
+            byte[] message = kind.message(requestId);
+            int half = message.length / 2;
+            // Encoded already, and so passed by the codec: a handler for each small chunk would occupy the loop.
+            ChannelHandlerContext socket = channel.pipeline().firstContext();
+            socket.writeAndFlush(Unpooled.wrappedBuffer(message, 0, half));
+            loop.schedule(
+                    () -> socket.writeAndFlush(Unpooled.wrappedBuffer(message, half, message.length - half)),
+                    PAUSE_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
+
         @Override
         public void reset() {
             if (channel.isOpen()) { // the peer may have closed it, and channelInactive not have been called yet
--- a/src/testbed/java/loadbalancer/testbed/ServerExchange.java
+++ b/src/testbed/java/loadbalancer/testbed/ServerExchange.java
@@ -14,6 +14,11 @@
     /** Aborts the connection or stream without a response. */
     void reset();
 
+    /** Writes the response of a request that has been served; {@link LongResponse} says how long it is. */
+    default void respondAtLength(String requestId) {
+        respond(200, requestId, Execution.UNSPECIFIED);
+    }
+
     /** What a response says about the request's execution. */
     enum Execution {
         /** Nothing: the request may have been executed. */
--- a/src/testbed/java/loadbalancer/testbed/SoakClient.java
+++ b/src/testbed/java/loadbalancer/testbed/SoakClient.java
@@ -21,7 +21,10 @@
     private static final double RESET_SHARE = 0.4; // of those that leave
     private static final double AT_ONCE_SHARE = 0.5; // of those that leave: right after the request
     private static final int MAX_LINGER_MILLIS = 250; // the others, at most
+    private static final long MAX_HEAD_NANOS = TimeUnit.MILLISECONDS.toNanos(500); // else it is no slow reader
     private static final int MAX_THINK_MILLIS = 30;
+    private static final int MIN_READ_PAUSE_MILLIS = 1_000; // within a large response
+    private static final int READ_PAUSE_SPREAD_MILLIS = 500;
     private static final int PARTIAL_LENGTH = 40; // within the head
     private static final String BODY = "abcdefgh";
 
@@ -53,11 +56,6 @@
         this.random = new SplittableRandom(plan.seed() * 1_000 + number);
     }
 
-    /** The identifier of a client's request. */
-    static String id(int client, int request) {
-        return "c" + client + "-" + request;
-    }
-
     /** Sends requests until then, in µs of the testbed's clock. */
     void run(long until) throws InterruptedException {
         while (testbed.clock.now() < until && next < maxRequests) {
@@ -80,7 +78,7 @@
             }
         }
         int request = next++;
-        String id = id(number, request);
+        String id = plan.requestId(number, request);
         Scenario.RequestClass requestClass = plan.scenario()
                 .classes()
                 .get(request % plan.scenario().classes().size());
@@ -113,7 +111,26 @@
 
     private ClientSocket.Response exchange(String id, Scenario.RequestClass requestClass) throws InterruptedException {
         boolean sent = connection.send(completeRequest(id, requestClass));
-        return sent ? connection.response() : new ClientSocket.Response(0, "not taken", false);
+        if (!sent) {
+            return new ClientSocket.Response(0, "not taken", false);
+        }
+        pauseWithinLargeResponse(id);
+        return connection.response();
+    }
+
+    // Longer than a connection is kept after its last response; the last byte of a large one waits for it.
+    private void pauseWithinLargeResponse(String id) throws InterruptedException {
+        if (LongResponse.of(id) != LongResponse.LARGE) {
+            return;
+        }
+        long begin = System.nanoTime();
+        while (!connection.hasResponse()) {
+            if (System.nanoTime() - begin > MAX_HEAD_NANOS) {
+                return;
+            }
+            Thread.sleep(1);
+        }
+        Thread.sleep(MIN_READ_PAUSE_MILLIS + random.nextInt(READ_PAUSE_SPREAD_MILLIS));
     }
 
     private void record(
@@ -125,7 +142,10 @@
         boolean killed = targets.get(targetIndex).killedSince(sentAt);
         long took = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - sentAt);
         Ledger.RequestOutcome last = switch (response.status()) {
-            case 200 -> response.text().equals(id) ? Ledger.RequestOutcome.SERVED : Ledger.RequestOutcome.NONE;
+            case 200 ->
+                response.text().equals(LongResponse.body(id))
+                        ? Ledger.RequestOutcome.SERVED
+                        : Ledger.RequestOutcome.NONE;
             case 0 -> killed ? Ledger.RequestOutcome.LOST : Ledger.RequestOutcome.NONE;
             case 429, 503 -> Ledger.RequestOutcome.REFUSED;
             default -> response.status() < 500 ? Ledger.RequestOutcome.NOT_TAKEN : Ledger.RequestOutcome.FAILED;
@@ -164,6 +184,7 @@
         return (safe ? "GET" : "POST") + " /api/k HTTP/1.1\r\nHost: x\r\nReq-Id: " + id + "\r\nReq-Kind: "
                 + requestClass.name() + "\r\nReq-Deadline-Ms: " + requestClass.deadlineMicros() / 1_000 + "\r\n"
                 + (requestClass.effect() == Policy.Effect.KEYED ? "Idempotency-Key: " + id + "\r\n" : "")
+                + (LongResponse.of(id) == LongResponse.LARGE ? "Connection: close\r\n" : "")
                 + (safe ? "\r\n" : "Content-Length: " + BODY.length() + "\r\n\r\n");
     }
 
--- a/src/testbed/java/loadbalancer/testbed/SoakCrowd.java
+++ b/src/testbed/java/loadbalancer/testbed/SoakCrowd.java
@@ -13,7 +13,7 @@
 
 /**
  * The crowd of a soak: idle clients that take the descriptors of each process, in bursts, and some that write the head
- * of a request slowly and never end it. They ask for nothing that the ledger would count. Each place has a thread.
+ * of a request slowly and never end it; in some runs all of them send many requests at once and read no response. They ask for nothing that the ledger would count. Each place has a thread.
  */
 final class SoakCrowd implements AutoCloseable {
     /** Of each process in runs with a crowd. */
@@ -23,6 +23,12 @@
     private static final int MAX_BURST = 20;
     private static final int MAX_PAUSE_MILLIS = 150; // between two bursts
     private static final int SLOW_EVERY = 5; // of its connections
+    private static final int MAX_OPEN_PIPELINING = 200; // at one process
+    private static final int MAX_BURST_PIPELINING = 60;
+    private static final int MAX_PIPELINED = 40;
+    private static final int MAX_COOKIE_BYTES = 8_000;
+    private static final int DEADLINE_MILLIS = 2_000;
+    private static final String ID_PREFIX = "crowd-";
     private static final String PARTIAL_HEAD = "GET /api/k HTTP/1.1\r\nHost: x\r\n";
     private static final long PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(200); // behind SIGTERM
     private static final long SEED_MASK = 0xc0de;
@@ -53,11 +59,11 @@
     private void crowd(SoakTarget target, SplittableRandom random, long until) throws InterruptedException {
         Deque<ClientSocket> open = new ArrayDeque<>();
         while (testbed.clock.now() < until) {
-            int burst = 1 + random.nextInt(MAX_BURST);
+            int burst = 1 + random.nextInt(plan.isPipelining() ? MAX_BURST_PIPELINING : MAX_BURST);
             for (int i = 0; i < burst; i++) {
                 openOne(target, random, open);
             }
-            while (open.size() > MAX_OPEN) {
+            while (open.size() > (plan.isPipelining() ? MAX_OPEN_PIPELINING : MAX_OPEN)) {
                 closeOldest(open);
             }
             Thread.sleep(random.nextInt(MAX_PAUSE_MILLIS));
@@ -76,7 +82,9 @@
         try {
             ClientSocket socket = testbed.connect(address);
             open.add(socket);
-            if (random.nextInt(SLOW_EVERY) == 0) {
+            if (plan.isPipelining()) {
+                socket.send(pipelinedRequests(random));
+            } else if (random.nextInt(SLOW_EVERY) == 0) {
                 socket.send(PARTIAL_HEAD.substring(0, 1 + random.nextInt(PARTIAL_HEAD.length())));
             }
         } catch (IOException e) {
@@ -84,6 +92,28 @@
         }
     }
 
+    // Their client reads no response.
+    private String pipelinedRequests(SplittableRandom random) {
+        StringBuilder requests = new StringBuilder();
+        String cookie = "Cookie: " + "c".repeat(random.nextInt(MAX_COOKIE_BYTES)) + "\r\n\r\n";
+        int count = 1 + random.nextInt(MAX_PIPELINED);
+        for (int i = 0; i < count; i++) {
+            requests.append(PARTIAL_HEAD)
+                    .append("Req-Kind: read\r\nReq-Deadline-Ms: ")
+                    .append(DEADLINE_MILLIS)
+                    .append("\r\nReq-Id: " + ID_PREFIX)
+                    .append(Long.toHexString(random.nextLong()))
+                    .append("\r\n")
+                    .append(cookie);
+        }
+        return requests.toString();
+    }
+
+    /** Whether that request is one of a crowd, which the ledger does not know. */
+    static boolean isOfCrowd(String requestId) {
+        return requestId.startsWith(ID_PREFIX);
+    }
+
     private void closeOldest(Deque<ClientSocket> open) {
         ClientSocket oldest = open.poll();
         oldest.close();
--- a/src/testbed/java/loadbalancer/testbed/SoakPlan.java
+++ b/src/testbed/java/loadbalancer/testbed/SoakPlan.java
@@ -67,6 +67,10 @@
     private static final List<Kind> SHUTDOWN_SERIES =
             List.of(Kind.TERMINATE_TWICE, Kind.RELOAD_TERMINATE, Kind.PAUSE_TERMINATE, Kind.TERMINATE_STARTING);
     private static final int CROWDED_EVERY = 4; // seeds
+    private static final int LONG_EVERY = 3; // seeds
+    private static final int PIPELINING_EVERY = 5; // seeds
+    private static final int SMALL_CHUNKS_EVERY = 7; // requests of a client
+    private static final int LARGE_EVERY = 23; // requests of a client
     private static final List<Scenario.ServerFaultKind> SERVER_FAULTS = List.of(
             Scenario.ServerFaultKind.STALL,
             Scenario.ServerFaultKind.SLOW,
@@ -93,7 +97,7 @@
                         kind("read", Policy.Effect.SAFE, 0),
                         kind("book", Policy.Effect.UNSAFE, 0),
                         kind("pay", Policy.Effect.KEYED, 500_000)),
-                serverFaults(random.split(), durationMicros));
+                serverFaults(random.split(), durationMicros, seed % LONG_EVERY == 0));
         return new SoakPlan(
                 seed, processes, durationMicros, scenario, processFaults(random.split(), processes, durationMicros));
     }
@@ -106,12 +110,17 @@
         return (long) (-Math.log(1 - random.nextDouble()) * mean);
     }
 
-    private static List<Scenario.ServerFault> serverFaults(SplittableRandom random, long durationMicros) {
+    // A server that is killed within a long response leaves it incomplete, which is no fault of the program.
+    private static List<Scenario.ServerFault> serverFaults(
+            SplittableRandom random, long durationMicros, boolean longResponses) {
         List<Scenario.ServerFault> faults = new ArrayList<>();
         for (long at = drawInterval(random, MEAN_SERVER_FAULT_INTERVAL_MICROS);
                 at < durationMicros;
                 at += drawInterval(random, MEAN_SERVER_FAULT_INTERVAL_MICROS)) {
             Scenario.ServerFaultKind what = SERVER_FAULTS.get(random.nextInt(SERVER_FAULTS.size()));
+            if (longResponses && what == Scenario.ServerFaultKind.KILL) {
+                what = Scenario.ServerFaultKind.STALL;
+            }
             double amount = what == Scenario.ServerFaultKind.SLOW ? 0.1 : 0.3;
             faults.add(new Scenario.ServerFault(
                     at,
@@ -161,6 +170,27 @@
         return seed % CROWDED_EVERY == 0;
     }
 
+    /** Whether many clients send many requests at once. */
+    boolean isPipelining() {
+        return seed % PIPELINING_EVERY == 0;
+    }
+
+    /** Whether some responses are long, and read slowly. */
+    boolean hasLongResponses() {
+        return seed % LONG_EVERY == 0;
+    }
+
+    /** The identifier of a client's request, which also says how long its response is. */
+    String requestId(int client, int request) {
+        String suffix = "";
+        if (hasLongResponses() && request % LARGE_EVERY == 0) {
+            suffix = LongResponse.LARGE.suffix();
+        } else if (hasLongResponses() && request % SMALL_CHUNKS_EVERY == 0) {
+            suffix = LongResponse.SMALL_CHUNKS.suffix();
+        }
+        return "c" + client + "-" + request + suffix;
+    }
+
     /** The longest deadline of the classes. */
     long longestDeadlineMicros() {
         return scenario.classes().stream()
--- a/src/testbed/java/loadbalancer/testbed/StandInServer.java
+++ b/src/testbed/java/loadbalancer/testbed/StandInServer.java
@@ -18,6 +18,7 @@
  */
 final class StandInServer implements ServerModel.Listener {
     private static final long NEVER = Long.MAX_VALUE;
+    private static final long CROWD_MILLIS = 50; // for a request of the crowd
 
     /**
      * What the servers of a fleet share.
@@ -234,6 +235,13 @@
             exchange.respond(200, "ok", ServerExchange.Execution.UNSPECIFIED);
             return;
         }
+        if (requestId != null && SoakCrowd.isOfCrowd(requestId)) {
+            loop.schedule(
+                    () -> exchange.respond(200, requestId, ServerExchange.Execution.UNSPECIFIED),
+                    CROWD_MILLIS,
+                    TimeUnit.MILLISECONDS);
+            return;
+        }
         RequestProfile profile = requestId == null ? null : profiles.apply(requestId);
         if (profile == null) {
             exchange.respond(400, "unknown order", ServerExchange.Execution.UNSPECIFIED);
@@ -309,7 +317,7 @@
         } else if (faults.drawError()) {
             exchange.respond(500, "error", ServerExchange.Execution.UNSPECIFIED);
         } else {
-            exchange.respond(200, job.requestId, ServerExchange.Execution.UNSPECIFIED);
+            exchange.respondAtLength(job.requestId);
         }
     }
 
--- a/src/testbed/java/loadbalancer/testbed/fleet/BalancerMember.java
+++ b/src/testbed/java/loadbalancer/testbed/fleet/BalancerMember.java
@@ -54,6 +54,7 @@
                 "-XX:+UseSerialGC",
                 "-Xms40m",
                 "-Xmx40m",
+                "-XX:MaxDirectMemorySize=16m",
                 "-XX:TieredStopAtLevel=1",
                 "-Xss256k",
                 "-cp",
--- a/src/testbed/java/loadbalancer/testbed/fleet/ClientSocket.java
+++ b/src/testbed/java/loadbalancer/testbed/fleet/ClientSocket.java
@@ -74,9 +74,8 @@
                 text = c == '\n' ? head.toString(StandardCharsets.ISO_8859_1) : "";
             }
             String low = text.toLowerCase(Locale.ROOT);
-            int length = Integer.parseInt(low.split("content-length: ", -1)[1].split("\r\n", -1)[0]);
-            byte[] body = in.readNBytes(length);
-            if (body.length < length) {
+            byte[] body = low.contains("transfer-encoding: chunked") ? chunkedBody() : sizedBody(low);
+            if (body == null) {
                 return new Response(0, "ended within the body", false);
             }
             return new Response(
@@ -88,6 +87,35 @@
         }
     }
 
+    private byte[] sizedBody(String head) throws IOException {
+        int length = Integer.parseInt(head.split("content-length: ", -1)[1].split("\r\n", -1)[0]);
+        byte[] body = in.readNBytes(length);
+        return body.length < length ? null : body;
+    }
+
+    // Null where the connection ends within the body.
+    private byte[] chunkedBody() throws IOException {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        while (true) {
+            StringBuilder line = new StringBuilder();
+            for (int c = in.read(); c != '\n'; c = in.read()) {
+                if (c < 0) {
+                    return null;
+                }
+                line.append((char) c);
+            }
+            int length = Integer.parseInt(line.toString().strip(), 16);
+            byte[] chunk = in.readNBytes(length + 2); // and its line end
+            if (chunk.length < length + 2) {
+                return null;
+            }
+            if (length == 0) {
+                return body.toByteArray();
+            }
+            body.write(chunk, 0, length);
+        }
+    }
+
     /** Ends the connection by a reset (RST); {@link #close} ends it by a FIN. */
     public void reset() {
         try {
