--- a/src/main/java/loadbalancer/connections/ConnectionBudget.java
+++ b/src/main/java/loadbalancer/connections/ConnectionBudget.java
@@ -140,8 +140,8 @@
 
     /**
      * Records that the last byte of a response to a client is about to be written, and decides whether the connection
-     * stays open. Otherwise the response has to announce the close, and no further request is accepted. The connection is
-     * busy until {@link #responseSent}.
+     * stays open. Otherwise the response has to announce the close, and no further request is accepted. The
+     * connection is busy until {@link #responseSent}.
      *
      * @param keepAlive whether both the client and this server want to keep the connection open
      * @param hasPartialRequest whether part of another request has arrived, which must not be lost
--- a/src/main/java/loadbalancer/downstream/http1/ConnectionOutput.java
+++ b/src/main/java/loadbalancer/downstream/http1/ConnectionOutput.java
@@ -11,9 +11,9 @@
 import loadbalancer.proxy.UpstreamResponse;
 
 /**
- * The responses of one connection on their way to the client, and whether the connection stays open after them. A response
- * has been sent once its last byte has been written to the socket; until then the connection is neither idle nor closing,
- * for the connection budget, the timeouts and the life cycle alike. Must be used on the event loop.
+ * The responses of one connection on their way to the client, and whether the connection stays open after them. A
+ * response has been sent once its last byte has been written to the socket; until then the connection is neither idle
+ * nor closing, for the connection budget, the timeouts and the life cycle alike. Must be used on the event loop.
  */
 final class ConnectionOutput {
     private final Http1ClientConnection connection;
--- a/src/main/java/loadbalancer/downstream/http1/CutOffResponses.java
+++ b/src/main/java/loadbalancer/downstream/http1/CutOffResponses.java
@@ -5,7 +5,9 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
-/** Counts and logs the connections that were closed before their responses had been sent. To be used on the event loop. */
+/**
+ * Counts and logs the connections that were closed before their responses had been sent. To be used on the event loop.
+ */
 final class CutOffResponses {
     private final Consumer<String> log;
     private final Map<String, Long> countByReason = new TreeMap<>();
--- a/src/main/java/loadbalancer/proxy/MessageMemory.java
+++ b/src/main/java/loadbalancer/proxy/MessageMemory.java
@@ -1,8 +1,8 @@
 package loadbalancer.proxy;
 
 /**
- * The memory of one process for messages in transit, over all downstream and upstream protocols. To be used on the event
- * loop's thread.
+ * The memory of one process for messages in transit, over all downstream and upstream protocols. To be used on the
+ * event loop's thread.
  */
 public final class MessageMemory {
     /** Max. bytes of the buffered bodies of all clients. */
--- a/src/test/java/loadbalancer/server/PipeliningCrowdTest.java
+++ b/src/test/java/loadbalancer/server/PipeliningCrowdTest.java
@@ -16,8 +16,9 @@
 import org.junit.jupiter.api.Timeout;
 
 /**
- * Many clients that send many requests at once. The failure guarded against: what had been read of them and had not been
- * decoded used up the direct memory, for which the event loop waits, and their heads the heap; nobody was answered.
+ * Many clients that send many requests at once. The failure guarded against: what had been read of them and had not
+ * been decoded used up the direct memory, for which the event loop waits, and their heads the heap; nobody was
+ * answered.
  */
 @Timeout(60)
 class PipeliningCrowdTest extends ServerFixture {
--- a/src/testbed/java/loadbalancer/testbed/SoakCrowd.java
+++ b/src/testbed/java/loadbalancer/testbed/SoakCrowd.java
@@ -13,7 +13,8 @@
 
 /**
  * The crowd of a soak: idle clients that take the descriptors of each process, in bursts, and some that write the head
- * of a request slowly and never end it; in some runs all of them send many requests at once and read no response. They ask for nothing that the ledger would count. Each place has a thread.
+ * of a request slowly and never end it; in some runs all of them send many requests at once and read no response.
+ * They ask for nothing that the ledger would count. Each place has a thread.
  */
 final class SoakCrowd implements AutoCloseable {
     /** Of each process in runs with a crowd. */
