Release a connection's memory for good when it is closed

Need: each client connection that was reset with undecoded input left 16 KB counted in the memory budget for ever; after some 500 of them every connection would have had its minimum alone, and pipelined requests been rejected.

Cause: writes that fail, and the end of the read that saw the close, are handled behind the close and reported the decoder's buffer anew.

Change: nothing is reported after the release. The decoder of responses drops its body once more when it is removed.

--- a/src/main/java/loadbalancer/downstream/http1/ConnectionMemory.java
+++ b/src/main/java/loadbalancer/downstream/http1/ConnectionMemory.java
@@ -13,6 +13,7 @@
     private final ConnectionInput input;
     private final RequestQueue queue;
     private final ConnectionOutput output;
+    private boolean released;
 
     ConnectionMemory(MemoryBudget budget, ConnectionInput input, RequestQueue queue, ConnectionOutput output) {
         this.budget = budget;
@@ -22,9 +23,12 @@
         this.output = output;
     }
 
-    /** Reports to the budget of the process what the connection holds now. */
+    /**
+     * Reports to the budget of the process what the connection holds now. After a close this is nothing, although writes
+     * that fail and the end of a read are handled behind the close.
+     */
     void update() {
-        account.hold(heldBytes());
+        account.hold(released ? 0 : heldBytes());
     }
 
     private long heldBytes() {
@@ -49,6 +53,7 @@
 
     /** The connection has been closed and holds nothing. */
     void release() {
-        account.hold(0);
+        released = true;
+        update();
     }
 }
--- a/src/main/java/loadbalancer/upstream/http1/ResponseDecoder.java
+++ b/src/main/java/loadbalancer/upstream/http1/ResponseDecoder.java
@@ -253,6 +253,12 @@
         }
     }
 
+    // Behind the close the decoder may hand on what it had read before.
+    @Override
+    public void handlerRemoved(ChannelHandlerContext context) {
+        dropBody();
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
--- a/src/test/java/loadbalancer/server/PipeliningCrowdTest.java
+++ b/src/test/java/loadbalancer/server/PipeliningCrowdTest.java
@@ -14,6 +14,8 @@
 import loadbalancer.proxy.MessageMemory;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Many clients that send many requests at once. The failure guarded against: what had been read of them and had not
@@ -176,4 +178,48 @@
             assertTrue(client.answerAfter(upstream).startsWith("HTTP/1.1 200"), "a usual head is always held");
         }
     }
+
+    /** Guards against memory that stays counted: the budget would shrink with each connection, until nothing fits. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void allMemoryIsReleasedHoweverAConnectionEnds(boolean reset) throws Exception {
+        start();
+        for (int i = 0; i < 10; i++) {
+            Client client =
+                    new Client(at).send(requests("c" + i, 3) + request("half").substring(0, 5_000));
+            ScriptedUpstream.Got got = upstream.next();
+            if (reset) {
+                client.socket.setSoLinger(true, 0);
+            }
+            if (i % 2 == 0) {
+                got.answer(200, "", new byte[60_000]);
+            }
+            client.close();
+        }
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (memory.budget().heldBytes() > 0 && System.nanoTime() < deadline) {
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+        assertEquals(0, memory.budget().heldBytes());
+    }
+
+    /** The close follows an error within the handling of a read, and what was read is left undecoded. */
+    @Test
+    void memoryIsReleasedAfterACloseWithinARead() throws Exception {
+        start();
+        for (int i = 0; i < 5; i++) {
+            try (Client client = new Client(at)) {
+                client.send(request("bad", "Content-Length: 7\r\n") + requests("behind", 4));
+                assertEquals(400, client.status());
+                client.socket.getOutputStream().write(new byte[200_000]); // more than is drained after an error
+            } catch (IOException e) {
+                continue; // reset, as too much came behind the error
+            }
+        }
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (memory.budget().heldBytes() > 0 && System.nanoTime() < deadline) {
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+        assertEquals(0, memory.budget().heldBytes());
+    }
 }
