Let a connection linger after its last response, whatever was pipelined behind it

Need: where a response ends the connection and further requests had been read, the permit stayed busy for ever if the client did not close; it could be neither evicted nor expired, and an evacuation would have waited for it.

Cause: responseSent returned while requests were in flight, but those behind the last response are never served. Introduced with responseSent.

--- a/src/main/java/loadbalancer/connections/ConnectionBudget.java
+++ b/src/main/java/loadbalancer/connections/ConnectionBudget.java
@@ -171,14 +171,15 @@
 
     /**
      * Records that the last byte of a response to a client has been written to the socket. Once this holds for all
-     * responses of the connection and no request is in flight, the connection is idle or lingers.
+     * responses of the connection, it lingers if the last response was among them, and is idle if no request is in flight.
      */
     public void responseSent(ConnectionPermit permit, long nowNanos) {
         if (permit.state == ConnectionPermit.State.CLOSED) {
             return;
         }
         permit.unsentResponses--;
-        if (permit.unsentResponses > 0 || permit.requestsInFlight > 0) {
+        boolean hasMoreRequests = permit.requestsInFlight > 0 && !permit.isClosing(); // none is served after the last
+        if (permit.unsentResponses > 0 || hasMoreRequests) {
             return;
         }
         permit.idlePeriods += permit.stateOnceSent == ConnectionPermit.State.IDLE ? 1 : 0;
