Answer pipelined requests that have been read before a shutdown ends their connection

Callers saw: of three requests sent at once on a connection, the second and third get no answer if the process is stopped within the first; the same at an evacuation and a handover.

Cause: mayStayOpen asked the life cycle alone, and each connection ended with its next response.

Change: the connection stays open while requests that have been read wait on it; the shutdown's drain counts them as owed.

--- a/src/main/java/loadbalancer/downstream/http1/ConnectionMemory.java
+++ b/src/main/java/loadbalancer/downstream/http1/ConnectionMemory.java
@@ -48,7 +48,7 @@
 
     /** Whether another response may be passed on: a client that does not read its responses gets no further ones. */
     boolean mayRespond() {
-        return output.unsentBytes() <= budget.maxAccountBytes();
+        return output.isWritable() && output.unsentBytes() <= budget.maxAccountBytes();
     }
 
     /** The connection has been closed and holds nothing. */
--- a/src/main/java/loadbalancer/downstream/http1/ConnectionOutput.java
+++ b/src/main/java/loadbalancer/downstream/http1/ConnectionOutput.java
@@ -44,6 +44,11 @@
         return aborted || hasUnsentResponse();
     }
 
+    /** Whether the channel takes more bytes at the moment. */
+    boolean isWritable() {
+        return channel.isWritable();
+    }
+
     /** Bytes that have been passed to the channel and not been written to the socket. */
     long unsentBytes() {
         ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
--- a/src/main/java/loadbalancer/downstream/http1/Http1ClientConnection.java
+++ b/src/main/java/loadbalancer/downstream/http1/Http1ClientConnection.java
@@ -67,10 +67,19 @@
         return receiveProgress.isReceiving() && serveState == ServeState.IDLE;
     }
 
+    /** Whether a request has been received that waits for the responses to those before it. */
+    boolean hasPipelinedRequest() {
+        return !queue.isEmpty();
+    }
+
     ConnectionOutput output() {
         return output;
     }
 
+    ConnectionMemory memory() {
+        return memory;
+    }
+
     /** Closes the connection on behalf of the connection budget or the life cycle. */
     void close() {
         close("connection budget or life cycle");
@@ -178,22 +187,12 @@
         return Admission.REJECT_IN_TURN;
     }
 
-    /** Whether that many bytes of input may wait until pipelined requests have been served. */
-    boolean mayBuffer(int bytes) {
-        return memory.mayHoldMore(bytes);
-    }
-
     /** Called when input can't wait for want of memory: it is decoded at once, and its requests are rejected. */
     void inputExceedsMemory() {
         rejectingPipelined = true;
         input.resume();
     }
 
-    /** Called after input has been handled. */
-    void inputHandled() {
-        memory.update();
-    }
-
     @Override
     public void onRequest(ReceivedRequest request) {
         if (request.bodyStream() != null) {
@@ -209,7 +208,7 @@
         if (queue.isFull()) { // this request had been read before input was paused
             queue.release(request);
             onMalformed(HttpResponseStatus.BAD_REQUEST, ConnectionInput.TOO_MANY_PIPELINED);
-        } else if (serveState != ServeState.IDLE || !mayRespondMore()) {
+        } else if (serveState != ServeState.IDLE || !memory.mayRespond()) {
             queue.add(request);
             if (queue.isFull() && !rejectingPipelined) {
                 input.pause(); // until the pipelined requests have been served
@@ -278,11 +277,6 @@
         scheduleNext();
     }
 
-    // A client that does not read its responses gets no further ones.
-    private boolean mayRespondMore() {
-        return channel.isWritable() && memory.mayRespond();
-    }
-
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         close(PEER_RESET);
@@ -328,8 +322,9 @@
         return receiveProgress.isReceiving() || inputClosedReason != null || input.hasBufferedRequest();
     }
 
+    // A process that keeps no connections open still answers the requests that it has read.
     private boolean mayStayOpen(boolean keepAlive) {
-        return keepAlive && listener.keepsConnections() && !input.isStreaming();
+        return keepAlive && (listener.keepsConnections() || hasPipelinedRequest()) && !input.isStreaming();
     }
 
     /** Called before the last response is written, so that input which was read after its request is not decoded. */
@@ -372,7 +367,7 @@
     // As a separate task: with many pipelined requests that are answered immediately, recursion would overflow the
     // stack and delay all other clients.
     private void scheduleNext() {
-        if (serveState == ServeState.IDLE && (inputClosedReason != null || !queue.isEmpty()) && mayRespondMore()) {
+        if (serveState == ServeState.IDLE && (inputClosedReason != null || !queue.isEmpty()) && memory.mayRespond()) {
             serveState = ServeState.SERVING;
             channel.eventLoop().execute(this::serveNext);
         }
--- a/src/main/java/loadbalancer/downstream/http1/Http1Listener.java
+++ b/src/main/java/loadbalancer/downstream/http1/Http1Listener.java
@@ -211,20 +211,27 @@
     /**
      * Observes the connections for the shutdown of a process.
      *
-     * @param pendingResponses the responses that the process still owes
+     * @param pendingResponses the responses that the process owes, without those to pipelined requests that wait
      * @param otherUnsentResponses the responses of other listeners that have not been sent completely
      */
     public ShutdownDrain.Observation observe(int pendingResponses, int otherUnsentResponses) {
+        int pipelinedRequests = 0;
         int partialRequests = 0;
         int idle = 0;
         int unsentResponses = otherUnsentResponses;
         for (Http1ClientConnection connection : connections) {
+            pipelinedRequests += connection.hasPipelinedRequest() ? 1 : 0;
             partialRequests += connection.hasPartialRequest() ? 1 : 0;
             idle += connection.permit().isIdle() ? 1 : 0;
             unsentResponses += connection.output().hasUnsentResponse() ? 1 : 0;
         }
         return new ShutdownDrain.Observation(
-                acceptedConnections, readCount, pendingResponses, partialRequests, idle, unsentResponses);
+                acceptedConnections,
+                readCount,
+                pendingResponses + pipelinedRequests,
+                partialRequests,
+                idle,
+                unsentResponses);
     }
 
     /** The number of open client connections. */
--- a/src/main/java/loadbalancer/downstream/http1/PipeliningLimiter.java
+++ b/src/main/java/loadbalancer/downstream/http1/PipeliningLimiter.java
@@ -77,7 +77,7 @@
             connection.onMalformed(HttpResponseStatus.BAD_REQUEST, ConnectionInput.TOO_MANY_PIPELINED);
             return;
         }
-        if (!connection.mayBuffer(byteCount(message))) {
+        if (!connection.memory().mayHoldMore(byteCount(message))) {
             connection.inputExceedsMemory();
             current.fireChannelRead(message);
             return;
--- a/src/main/java/loadbalancer/downstream/http1/ReadTracker.java
+++ b/src/main/java/loadbalancer/downstream/http1/ReadTracker.java
@@ -35,7 +35,7 @@
             context.fireChannelRead(message);
         } finally {
             reading = false;
-            connection.inputHandled();
+            connection.memory().update();
         }
     }
 }
--- a/src/test/java/loadbalancer/server/PipeliningCrowdTest.java
+++ b/src/test/java/loadbalancer/server/PipeliningCrowdTest.java
@@ -222,4 +222,23 @@
         }
         assertEquals(0, memory.budget().heldBytes());
     }
+
+    /** What a client has sent ahead, and the balancer has read, is answered before a shutdown ends the connection. */
+    @Test
+    void pipelinedRequestsThatHaveBeenReadAreAnsweredAtAShutdown() throws Exception {
+        start();
+        try (Client client = new Client(at).send(requests("p", 3))) {
+            ScriptedUpstream.Got first = upstream.next();
+            Thread stopping = new Thread(() -> node.stop());
+            stopping.start();
+            TimeUnit.MILLISECONDS.sleep(100);
+            first.answer(200, "", "ok");
+            assertEquals(200, client.status());
+            for (int i = 1; i < 3; i++) {
+                assertTrue(client.answerAfter(upstream).startsWith("HTTP/1.1 200"), "request " + i);
+            }
+            assertNull(client.answer());
+            stopping.join(TimeUnit.SECONDS.toMillis(20));
+        }
+    }
 }
