--- a/src/test/java/loadbalancer/http1/BodyWriterTest.java
+++ b/src/test/java/loadbalancer/http1/BodyWriterTest.java
@@ -27,7 +27,7 @@
 
 /** Tests how many bytes and objects wait for a peer that does not read. */
 class BodyWriterTest {
-    private static final int PIECE_BYTES = 32;
+    private static final int PIECE_BYTES = 20;
     private static final int MAX_READ_BYTES = 32 << 10;
 
     /** A connection whose writes complete when the test says so. */
--- a/src/test/java/loadbalancer/server/SmallPiecesTest.java
+++ b/src/test/java/loadbalancer/server/SmallPiecesTest.java
@@ -26,7 +26,7 @@
 @Timeout(60)
 class SmallPiecesTest extends ServerFixture {
     private static final int BODY_BYTES = 600_000;
-    private static final int CHUNK_BYTES = 32;
+    private static final int CHUNK_BYTES = 20;
     /** A few reads' worth of pieces has to go together, whatever the network makes of them. */
     private static final int MIN_MEAN_CHUNK_BYTES = 10 * CHUNK_BYTES;
 
