--- a/src/test/java/loadbalancer/server/Http3TestClient.java
+++ b/src/test/java/loadbalancer/server/Http3TestClient.java
@@ -43,6 +43,7 @@
 
 /** A client over HTTP/3 that does what a test says, also what no client should do. */
 final class Http3TestClient implements Closeable {
+    private static final long STREAM_WINDOW_BYTES = 1 << 17;
     private static final EventLoopGroup GROUP = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
     /** The result of one request: a response or a reset; all response heads are counted. */
@@ -91,13 +92,18 @@
     final QuicChannel quic;
 
     Http3TestClient(InetSocketAddress to, X509Certificate trust) throws Exception {
-        udp = socket(to, trust);
+        this(to, trust, STREAM_WINDOW_BYTES);
+    }
+
+    /** {@code streamWindowBytes}: what the server may send on a stream before the client reads it. */
+    Http3TestClient(InetSocketAddress to, X509Certificate trust, long streamWindowBytes) throws Exception {
+        udp = socket(to, trust, streamWindowBytes);
         quic = dial(to).get(20, TimeUnit.SECONDS);
     }
 
     /** Begins so many handshakes from one socket, which is returned, and awaits none. */
     static Channel dialOnly(InetSocketAddress to, X509Certificate trust, int connections) throws InterruptedException {
-        Channel socket = socket(to, trust);
+        Channel socket = socket(to, trust, STREAM_WINDOW_BYTES);
         for (int i = 0; i < connections; i++) {
             QuicChannel.newBootstrap(socket)
                     .handler(new Http3ClientConnectionHandler())
@@ -107,7 +113,8 @@
         return socket;
     }
 
-    private static Channel socket(InetSocketAddress to, X509Certificate trust) throws InterruptedException {
+    private static Channel socket(InetSocketAddress to, X509Certificate trust, long streamWindowBytes)
+            throws InterruptedException {
         var context = QuicSslContextBuilder.forClient()
                 .trustManager(trust)
                 .applicationProtocols(Http3.supportedApplicationProtocols())
@@ -119,7 +126,7 @@
                         .sslEngineProvider(q -> context.newEngine(q.alloc(), "box.test", to.getPort()))
                         .maxIdleTimeout(20, TimeUnit.SECONDS)
                         .initialMaxData(1 << 20)
-                        .initialMaxStreamDataBidirectionalLocal(1 << 17)
+                        .initialMaxStreamDataBidirectionalLocal(streamWindowBytes)
                         .activeMigration(true)
                         .activeConnectionIdLimit(4)
                         .build())
