--- a/src/main/java/loadbalancer/connections/ConnectionBudget.java
+++ b/src/main/java/loadbalancer/connections/ConnectionBudget.java
@@ -171,7 +171,8 @@
 
     /**
      * Records that the last byte of a response to a client has been written to the socket. Once this holds for all
-     * responses of the connection, it lingers if the last response was among them, and is idle if no request is in flight.
+     * responses of the connection, it lingers if the last response was among them, and is idle if no request is in
+     * flight.
      */
     public void responseSent(ConnectionPermit permit, long nowNanos) {
         if (permit.state == ConnectionPermit.State.CLOSED) {
--- a/src/main/java/loadbalancer/downstream/http1/ConnectionMemory.java
+++ b/src/main/java/loadbalancer/downstream/http1/ConnectionMemory.java
@@ -24,8 +24,8 @@
     }
 
     /**
-     * Reports to the budget of the process what the connection holds now. After a close this is nothing, although writes
-     * that fail and the end of a read are handled behind the close.
+     * Reports to the budget of the process what the connection holds now. After a close this is nothing, although
+     * writes that fail and the end of a read are handled behind the close.
      */
     void update() {
         account.hold(released ? 0 : heldBytes());
--- a/src/test/java/loadbalancer/connections/UnsentResponseTest.java
+++ b/src/test/java/loadbalancer/connections/UnsentResponseTest.java
@@ -57,7 +57,7 @@
         assertFalse(permit.isIdle(), "part of another request has arrived");
     }
 
-    /** Guards against a permit that is held for ever: what a client had pipelined behind its last request is dropped. */
+    /** Guards against a permit that is held for ever: what was pipelined behind the last request is dropped. */
     @Test
     void connectionLingersAfterItsLastResponseAlthoughRequestsWerePipelinedBehindIt() {
         List<String> closed = new ArrayList<>();
