--- a/review/java-2/review2/Kit.java
+++ b/review/java-2/review2/Kit.java
@@ -200,10 +200,13 @@
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
-    static final String LIMITS = "{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}";
-
     Balancer balancer(String name, Discovery discovery, String settings) throws IOException {
-        return new Balancer(name, discovery.address(), settings, discovery.list(), LIMITS);
+        return balancer(name, discovery, settings, 1_024);
+    }
+
+    Balancer balancer(String name, Discovery discovery, String settings, int descriptors) throws IOException {
+        String limits = "{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" + descriptors + "}";
+        return new Balancer(name, discovery.address(), settings, discovery.list(), limits);
     }
 
     @Override
--- a/review/java-2/review2/Upstream.java
+++ b/review/java-2/review2/Upstream.java
@@ -16,13 +16,6 @@
     private final ServerSocket listener;
     private final Work work;
     private final AtomicInteger used = new AtomicInteger();
-    /** What follows an answer on its connection. */
-    volatile After afterAnswer = (socket, in, answer) -> {};
-
-    /** What an upstream does after an answer. */
-    interface After {
-        void answered(Socket socket, InputStream in, String answer) throws Exception;
-    }
 
     /** What the upstream does with a request. */
     interface Work {
@@ -82,7 +75,6 @@
                     }
                     socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
                     socket.getOutputStream().flush();
-                    afterAnswer.answered(socket, in, answer);
                 }
             }
         });
