--- a/review/java-2/review2/EvictedRequestCase.java
+++ b/review/java-2/review2/EvictedRequestCase.java
@@ -63,15 +63,13 @@
                     int number = round;
                     clients.add(kit.start("bad clients", () -> {
                         for (int i = part; i < BAD_CLIENTS; i += 8) {
+                            String id = "bad" + number + "x" + i;
                             Socket socket = new Socket();
                             synchronized (crowd) {
                                 crowd.add(socket);
                             }
                             socket.connect(balancer.address, 3_000);
-                            byte[] bytes = half.replace("Req-Id: bad", "Req-Id: bad" + number + "x" + i)
-                                    .getBytes(StandardCharsets.ISO_8859_1);
-                            socket.setSendBufferSize(bytes.length * 2);
-                            socket.getOutputStream().write(bytes);
+                            kit.start("bad client", () -> bad(socket, half.replace("Req-Id: bad", "Req-Id: " + id)));
                         }
                     }));
                 }
@@ -93,6 +91,18 @@
         return lost.get() > 0;
     }
 
+    // Sends at full speed, stays, reads what it is sent, and closes when it has been closed.
+    private static void bad(Socket socket, String half) {
+        try (socket) {
+            socket.getOutputStream().write(half.getBytes(StandardCharsets.ISO_8859_1));
+            while (socket.getInputStream().read() >= 0) {
+                continue;
+            }
+        } catch (IOException e) {
+            return; // it has been reset
+        }
+    }
+
     private static void sound(
             Kit kit,
             Kit.Balancer balancer,
--- a/review/java-2/review2/Kit.java
+++ b/review/java-2/review2/Kit.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -25,6 +26,7 @@
     private final BufferedWriter record;
     private final long startedAtNanos = System.nanoTime();
     private final List<Process> processes = new ArrayList<>();
+    private boolean closed; // guarded by the list
 
     /** The case of a script. */
     interface Case {
@@ -34,7 +36,7 @@
 
     private Kit(Path root, Path folder) throws IOException {
         this.root = root;
-        this.temporary = Files.createTempDirectory("review2");
+        this.temporary = Path.of(System.getenv("REVIEW_SCRATCH"));
         this.record = Files.newBufferedWriter(folder.resolve("record.txt"));
         Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     }
@@ -44,12 +46,21 @@
         int result = NOT_RUN;
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Thread limit = new Thread(() -> {
-            sleep(112_000);
+            sleep(110_000);
             System.err.println("not run: over the time of a case");
             System.exit(NOT_RUN);
         });
         limit.setDaemon(true);
         limit.start();
+        Thread orphan = new Thread(() -> {
+            long script = Long.parseLong(System.getenv("REVIEW_SCRIPT"));
+            while (ProcessHandle.of(script).isPresent()) {
+                sleep(200);
+            }
+            System.exit(NOT_RUN); // the script was killed
+        });
+        orphan.setDaemon(true);
+        orphan.start();
         try (Kit kit = new Kit(Path.of(arguments[0]), Path.of(arguments[1]))) {
             kit.note("trouble=" + trouble);
             try {
@@ -82,7 +93,7 @@
     /** Writes a line of the record. */
     synchronized void note(String line) {
         try {
-            String text = String.format(java.util.Locale.ROOT, "%10.1f ms  %s", millis(), line);
+            String text = String.format(Locale.ROOT, "%10.1f ms  %s", millis(), line);
             record.write(text);
             record.newLine();
             record.flush();
@@ -113,8 +124,8 @@
         void run() throws Exception;
     }
 
-    static InetAddress loopback() {
-        return InetAddress.getLoopbackAddress();
+    static InetAddress loopback() throws IOException {
+        return InetAddress.getByName("127.0.0.1");
     }
 
     static int freePort() throws IOException {
@@ -145,7 +156,9 @@
                     .orElseThrow()
                     .replaceFirst("run = \"", "")
                     .replaceFirst("\".*", "");
-            ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run).directory(root.toFile());
+            // The shell notes its id, which is that of the program as well, before there is anything to be left behind.
+            String noted = ": > \"$REVIEW_SCRATCH/process.$$\"; " + run;
+            ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", noted).directory(root.toFile());
             builder.environment().keySet().removeIf(key -> key.startsWith("ROUTER_"));
             builder.environment().put("TMPDIR", folder.toString());
             builder.environment().put("ROUTER_NAME", name);
@@ -155,8 +168,11 @@
             if ("1".equals(System.getenv("BALANCER_LOG"))) {
                 builder.environment().put("ROUTER_REQUEST_LOG", "on");
             }
-            process = builder.redirectErrorStream(true).start();
             synchronized (processes) {
+                if (closed) {
+                    throw new IOException("the case is being ended");
+                }
+                process = builder.redirectErrorStream(true).start();
                 processes.add(process);
             }
             Kit.this.start(name + " log", () -> process.inputReader().lines().forEach(line -> note("  " + name + " log: " + line)));
@@ -189,10 +205,10 @@
             throw new IOException(name + " did not become ready");
         }
 
-        /** Sends a signal by the command kill. */
-        void signal(String signal) throws Exception {
-            note("SIG" + signal + " to " + name);
-            new ProcessBuilder("/bin/sh", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
+        /** Sends SIGTERM to the process, if it still runs. */
+        void terminate() {
+            note("SIGTERM to " + name);
+            process.toHandle().destroy();
         }
     }
 
@@ -212,6 +228,7 @@
     @Override
     public void close() {
         synchronized (processes) {
+            closed = true;
             for (Process process : processes) {
                 process.descendants().forEach(ProcessHandle::destroyForcibly);
                 process.destroyForcibly();
--- a/review/java-2/review2/LateRepeatCase.java
+++ b/review/java-2/review2/LateRepeatCase.java
@@ -1,5 +1,6 @@
 package review2;
 
+import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
@@ -107,6 +108,12 @@
         }
         kit.note(lateConnections + " connections to upstreams came up late, " + fast.used() + " did not");
         kit.note(broken.size() + " requests ran a second time after their window of " + WINDOW_MILLIS + " ms: " + broken);
+        if (trouble && lateConnections == 0) {
+            throw new IOException("no connection came up late");
+        }
+        if (3 * lateConnections > lateConnections + fast.used()) {
+            throw new IOException("more than a third of the connections came up late");
+        }
         return !broken.isEmpty();
     }
 
--- a/review/java-2/review2/PipelinedStopCase.java
+++ b/review/java-2/review2/PipelinedStopCase.java
@@ -1,6 +1,8 @@
 package review2;
 
+import java.io.EOFException;
 import java.io.IOException;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -43,10 +45,12 @@
             clients.add(client);
         }
         if (trouble) {
-            balancer.signal("TERM");
+            balancer.terminate();
         }
         Kit.sleep(100);
-        int lost = 0;
+        // All connections are written to before any is read: a sound process may end while the answers are read.
+        boolean[] written = new boolean[CONNECTIONS];
+        int writes = 0;
         for (int i = 0; i < CONNECTIONS; i++) {
             StringBuilder requests = new StringBuilder();
             for (int k = 0; k < REQUESTS; k++) {
@@ -58,19 +62,36 @@
                         null,
                         "order"));
             }
+            try {
+                clients.get(i).send(requests.toString());
+                written[i] = true;
+                writes++;
+            } catch (IOException e) {
+                kit.note("connection " + i + ": had ended before the requests were written");
+            }
+        }
+        if (writes == 0) {
+            throw new IOException("no connection stayed open");
+        }
+        int lost = 0;
+        for (int i = 0; i < CONNECTIONS; i++) {
+            if (!written[i]) {
+                continue;
+            }
             Client client = clients.get(i);
             StringBuilder seen = new StringBuilder();
             int answers = 0;
-            // A reset before the requests were written whole would be no loss: then the send fails.
-            client.send(requests.toString());
+            boolean endedInOrder = true;
             try {
                 for (; answers < REQUESTS; answers++) {
                     seen.append(' ').append(client.receive(4_000).status);
                 }
             } catch (IOException e) {
-                seen.append(" then: ").append(e.getMessage());
+                // A reset would mean that something was unread: the close may have crossed it.
+                endedInOrder = e instanceof EOFException || e instanceof SocketTimeoutException;
+                seen.append(" then: ").append(e);
             }
-            if (answers == 0) {
+            if (answers == 0 || !endedInOrder) {
                 seen.append(" (not counted: the close may have crossed the requests)");
             } else {
                 lost += REQUESTS - answers;
--- a/review/java-2/review2/PipelinedTimeCase.java
+++ b/review/java-2/review2/PipelinedTimeCase.java
@@ -1,5 +1,6 @@
 package review2;
 
+import java.io.EOFException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -52,6 +53,7 @@
                 if (trouble) {
                     ids.forEach(id -> sentAt.put(id, kit.millis()));
                     client.send(String.join("", requests));
+                    ids.forEach(id -> sentAt.put(id, kit.millis())); // the last byte has been written
                     kit.note("the client has sent " + REQUESTS + " requests at once, each with " + DEADLINE_MILLIS
                             + " ms");
                 }
@@ -60,8 +62,17 @@
                     if (!trouble) {
                         sentAt.put(id, kit.millis());
                         client.send(requests.get(i));
+                        sentAt.put(id, kit.millis());
+                    }
+                    Client.Answer answer;
+                    try {
+                        answer = client.receive(10_000);
+                    } catch (EOFException e) {
+                        // In order, not by a reset: all had been read. The others of this connection get no answer.
+                        late += REQUESTS - i;
+                        kit.note(id + " and those behind it: closed with no answer: lost");
+                        break;
                     }
-                    Client.Answer answer = client.receive(10_000);
                     double age = kit.millis() - sentAt.get(id);
                     boolean isLate = age > DEADLINE_MILLIS + ALLOWED_LATE_MILLIS;
                     late += isLate ? 1 : 0;
@@ -71,7 +82,7 @@
             }
         }
         kit.note(late + " of " + 3 * REQUESTS + " requests were answered more than " + ALLOWED_LATE_MILLIS
-                + " ms after their time");
+                + " ms after their time, or never");
         return late > 0;
     }
 }
--- a/review/java-2/review2/SlowWriterStopCase.java
+++ b/review/java-2/review2/SlowWriterStopCase.java
@@ -68,7 +68,7 @@
             Kit.sleep((long) (stopAt - kit.millis()));
             if (trouble) {
                 for (Kit.Balancer balancer : balancers) {
-                    balancer.signal("TERM");
+                    balancer.terminate();
                     balancer.process.onExit().thenAccept(ended -> kit.note(String.format(
                             "  %s ended by itself, exit code %d, %.0f ms after SIGTERM",
                             balancer.name, ended.exitValue(), kit.millis() - stopAt)));
