--- a/review/java-2/review2/Kit.java
+++ b/review/java-2/review2/Kit.java
@@ -54,7 +54,8 @@
         limit.start();
         Thread orphan = new Thread(() -> {
             long script = Long.parseLong(System.getenv("REVIEW_SCRIPT"));
-            while (ProcessHandle.of(script).isPresent()) {
+            // The script started timeout(1), which started this process; who is left behind gets another parent.
+            while (ProcessHandle.current().parent().flatMap(ProcessHandle::parent).filter(p -> p.pid() == script).isPresent()) {
                 sleep(200);
             }
             System.exit(NOT_RUN); // the script was killed
