--- a/src/main/java/loadbalancer/server/GracefulShutdown.java
+++ b/src/main/java/loadbalancer/server/GracefulShutdown.java
@@ -1,5 +1,6 @@
 package loadbalancer.server;
 
+import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.eventloop.ReadBeforeTimers;
@@ -22,6 +23,7 @@
     private final ServerComponents server;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private ShutdownDrain drain; // on the loop only
+    private long requestedAtNanos; // on the loop only
 
     GracefulShutdown(ServerComponents server) {
         this.server = server;
@@ -29,7 +31,9 @@
 
     /** Shuts down and returns when all requests have been answered. */
     void stop() {
+        long nowNanos = System.nanoTime();
         server.loop.execute(() -> {
+            requestedAtNanos = nowNanos;
             server.lifeCycle.stop(System.nanoTime());
             long longestDeadlineMicros = server.dispatcher.beginShutdown(LAST_RESPONSE_MICROS);
             drain = new ShutdownDrain(TimeUnit.MICROSECONDS.toNanos(longestDeadlineMicros));
@@ -85,8 +89,12 @@
         // A response that is being streamed takes as long as it takes.
         int streamedResponses = server.listener.isStreamingResponse() ? 1 : 0;
         int pendingResponses = server.dispatcher.pendingResponses() + streamedResponses;
-        ShutdownDrain.Step step =
-                drain.observe(server.listener.observe(pendingResponses, server.extension.unsentResponses()));
+        ShutdownDrain.Observation observation =
+                server.listener.observe(pendingResponses, server.extension.unsentResponses());
+        ShutdownDrain.Step step = drain.observe(observation);
+        if (step != ShutdownDrain.Step.CONTINUE) {
+            log(step, observation);
+        }
         if (step == ShutdownDrain.Step.EXIT) {
             end();
             return true;
@@ -100,6 +108,14 @@
         return false;
     }
 
+    private void log(ShutdownDrain.Step step, ShutdownDrain.Observation observation) {
+        long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - requestedAtNanos);
+        server.log.accept("event=shutdown_step step=" + step.name().toLowerCase(Locale.ROOT) + " elapsed_ms="
+                + elapsedMillis + " pending_responses=" + observation.pendingResponses() + " partial_requests="
+                + observation.partialRequests() + " idle_connections=" + observation.idleConnections()
+                + " unsent_responses=" + observation.unsentResponses());
+    }
+
     private void end() {
         if (server.extension == NoExtension.INSTANCE) {
             server.loop.schedule(stopped::countDown, FLUSH_MILLIS, TimeUnit.MILLISECONDS);
