Take the final responses of requests out of Dispatcher

FinalResponses gives each request its one response and releases what it holds. No change of behaviour.

--- a/src/main/java/loadbalancer/proxy/Dispatcher.java
+++ b/src/main/java/loadbalancer/proxy/Dispatcher.java
@@ -30,7 +30,7 @@
     private AttemptTransport transport;
     private EndpointSource endpointSource = EndpointSource.NONE;
     private RequestLog requestLog = RequestLog.OFF;
-    private final LastResortResponses lastResortResponses;
+    private final FinalResponses finalResponses;
 
     /** Creates a dispatcher; {@code clock} is read on the event loop's thread, {@code log} must not block. */
     public Dispatcher(Scheduler scheduler, Clock clock, SettingsReader.Boot boot, Policy policy, Consumer<String> log) {
@@ -39,7 +39,6 @@
         this.policy = policy;
         this.log = log;
         LifecycleListener listener = new LifecycleListener();
-        lastResortResponses = new LastResortResponses(log);
         metrics = new RequestMetrics(boot.settings());
         invariants = new Invariants(log);
         stallMonitor = new EventLoopStallMonitor(scheduler, clock, log);
@@ -47,6 +46,14 @@
         requests = new RequestTable(scheduler);
         deadlines = new RequestDeadlines(scheduler, clock, stallMonitor, listener);
         attempts = new AttemptExecutor(clock, deadlines, invariants, requests.recentIds(), listener);
+        finalResponses = new FinalResponses(
+                clock,
+                requests,
+                deadlines,
+                attempts,
+                metrics,
+                new LastResortResponses(log),
+                this::notifyPolicyOfDisconnect);
     }
 
     /** Sets the transport for attempts and the source of endpoint lists; to be called before any other method. */
@@ -60,6 +67,7 @@
     public void setRequestLog(RequestLog newRequestLog) {
         requestLog = newRequestLog;
         attempts.setRequestLog(newRequestLog);
+        finalResponses.setRequestLog(newRequestLog);
     }
 
     /** Returns the counters of violated invariants. */
@@ -120,7 +128,7 @@
         requestLog.request(RequestLog.Event.REQUEST_TAKEN, request.id(), pending.deadlineMicros() - now());
         deadlines.trackUpload(upload, pending);
         policyEvents.submit(now -> notifyPolicy(pending, now));
-        return () -> clientDisconnected(pending);
+        return () -> finalResponses.clientDisconnected(pending);
     }
 
     private void notifyPolicy(PendingRequest pending, long now) {
@@ -160,47 +168,8 @@
         return requests.recentIds();
     }
 
-    private void clientDisconnected(PendingRequest pending) {
-        if (!pending.isClosed()) {
-            close(pending);
-            metrics.clientDisconnected();
-            requestLog.request(RequestLog.Event.CLIENT_CLOSED, pending.clientId(), pending.attemptsInFlight());
-            notifyPolicyOfDisconnect(pending);
-            releaseAttempts(pending);
-        }
-    }
-
-    // Each request gets one final response (rule 1). If the policy requests none, or has thrown, the request is
-    // failed here while the client still waits.
-    private void failAsLastResort(PendingRequest pending) {
-        if (!pending.isClosed()) {
-            lastResortResponses.record();
-            close(pending);
-            metrics.failed();
-            requestLog.request(RequestLog.Event.RESPONSE_FAILED, pending.clientId(), "last_resort");
-            pending.response().fail();
-            notifyPolicyOfDisconnect(pending);
-            List.copyOf(pending.attempts()).forEach(a -> attempts.giveUp(a, Policy.Outcome.CANCELLED));
-            requests.removeIfFinished(pending, now());
-        }
-    }
-
     private void notifyPolicyOfDisconnect(PendingRequest pending) {
-        if (pending.isKnownToPolicy()) {
-            policyEvents.submit(now -> policy.clientDisconnected(now, pending.id(), this));
-        }
-    }
-
-    private void close(PendingRequest pending) {
-        if (pending.close()) {
-            deadlines.cancel(pending);
-            requests.responseDone();
-        }
-    }
-
-    private void releaseAttempts(PendingRequest closed) {
-        attempts.withdrawUnsent(closed);
-        requests.removeIfFinished(closed, now());
+        policyEvents.submit(now -> policy.clientDisconnected(now, pending.id(), this));
     }
 
     /** Handles the notifications of timers and attempts. */
@@ -208,7 +177,7 @@
         @Override
         public void deadlineReached(PendingRequest pending) {
             List.copyOf(pending.attempts()).forEach(attempts::timeOut);
-            failAsLastResort(pending);
+            finalResponses.failAsLastResort(pending);
         }
 
         @Override
@@ -226,7 +195,7 @@
             metrics.attemptEnded(outcome);
             PendingRequest pending = attempt.pending();
             if (outcome == Policy.Outcome.OK && !pending.isClosed()) {
-                serve(attempt, response);
+                finalResponses.serve(attempt, response);
             } else if (response != null && response.remainingBody() != null) {
                 response.remainingBody().cancel(); // no client receives this response
             }
@@ -234,19 +203,11 @@
             policyEvents.submit(now -> policy.outcome(
                     now, pending.id(), attempt.number(), outcome, latency, pending.isClosed(), load, Dispatcher.this));
             if (pending.isClosed()) {
-                releaseAttempts(pending);
+                finalResponses.releaseAttempts(pending);
             }
         }
     }
 
-    private void serve(ProxyAttempt attempt, UpstreamResponse response) {
-        PendingRequest pending = attempt.pending();
-        close(pending);
-        requestLog.request(RequestLog.Event.RESPONSE_SERVED, pending.clientId(), attempt.number());
-        metrics.served(pending.metrics(), pending.request().timeLeftMicros() - (pending.deadlineMicros() - now()));
-        pending.response().serve(response);
-    }
-
     /**
      * Replaces the settings, also those of the policy. Open requests keep the limits under which they were accepted.
      * Classes and tenants are matched by name.
@@ -302,7 +263,7 @@
     /** Returns the counts as one line, for the summary at the end of a run. */
     public String summary() {
         return requests.accepted() + " requests taken, " + requests.pendingResponses() + " unanswered, "
-                + lastResortResponses.count() + " last-resort answers, " + policyEvents.faults() + " faults; "
+                + finalResponses.lastResortCount() + " last-resort answers, " + policyEvents.faults() + " faults; "
                 + metrics.summary() + "; " + invariants.summary();
     }
 
@@ -328,11 +289,7 @@
     public void reject(String request, long retryAfterMicros) {
         PendingRequest pending = requests.find(request);
         if (pending != null && !pending.isClosed()) {
-            close(pending);
-            metrics.rejected();
-            requestLog.request(RequestLog.Event.RESPONSE_REFUSED, pending.clientId(), retryAfterMicros);
-            pending.response().reject(retryAfterMicros);
-            releaseAttempts(pending);
+            finalResponses.reject(pending, retryAfterMicros);
         }
     }
 
@@ -340,11 +297,7 @@
     public void fail(String request) {
         PendingRequest pending = requests.find(request);
         if (pending != null && !pending.isClosed()) {
-            close(pending);
-            metrics.failed();
-            requestLog.request(RequestLog.Event.RESPONSE_FAILED, pending.clientId(), "policy");
-            pending.response().fail();
-            releaseAttempts(pending);
+            finalResponses.fail(pending);
         }
     }
 
