Forward nothing once a shutdown ends, and await slow writers while there is time

Cause, by event=shutdown_step and the request log: the drain decided to end the process with 19 partial requests known (1,029 ms after SIGTERM); in the 20 ms until the end one of them was completed, dispatched and sent. Partial requests were awaited for 0.4 s only, and those over HTTP/3 not at all.

ShutdownDrain has a step STOP_FORWARDING: when nothing is pending, idle or partial, or 0.4 s after the longest deadline (0.3 s before the earliest kill). From then on AttemptExecutor, which every attempt passes at its start and right before its first byte, lets none through, Dispatcher rejects what is complete later, and partial requests are refused with 503. So nothing can be under way at an upstream when the process ends.

--- a/src/main/java/loadbalancer/downstream/http1/ConnectionInput.java
+++ b/src/main/java/loadbalancer/downstream/http1/ConnectionInput.java
@@ -92,9 +92,9 @@
         }
     }
 
-    /** Whether input is being waited for: it is read, and all that has been read has been decoded. */
-    boolean isWaitingForInput() {
-        return gate.isOpen();
+    /** Whether a long body is being received and this process has paused reading, or has not decoded all of it. */
+    boolean isStreamPaused() {
+        return isStreaming() && !gate.isOpen();
     }
 
     /** Whether the connection takes input. */
--- a/src/main/java/loadbalancer/downstream/http1/ConnectionOutput.java
+++ b/src/main/java/loadbalancer/downstream/http1/ConnectionOutput.java
@@ -132,8 +132,15 @@
         }
     }
 
-    /** Resets the connection within a response that has made no progress; all may have been sent that has come. */
+    /**
+     * Closes a connection whose request body has made no progress, or resets it within a response that has made none;
+     * all may have been sent that has come.
+     */
     void abortStalled() {
+        if (!hasUnsentResponse()) {
+            connection.close("request body stalled");
+            return;
+        }
         boolean waitingForUpstream = streamer != null && unsentBytes() == 0;
         abort(waitingForUpstream ? "response stalled by upstream" : "response not read by client");
     }
--- a/src/main/java/loadbalancer/downstream/http1/Http1ClientConnection.java
+++ b/src/main/java/loadbalancer/downstream/http1/Http1ClientConnection.java
@@ -44,6 +44,7 @@
     private RequestFraming.Problem inputClosedReason;
     private Runnable clientClosedCallback; // runs if the client disconnects; null while no response is pending
     private long maxDrainedBytes = DEFAULT_MAX_DRAINED_BYTES; // after the last response
+    private boolean partialRefused; // its client is told so while it sends
     private boolean rejectingPipelined; // for want of memory, until no request is pipelined any more
     private String closeReason = "peer";
 
@@ -62,9 +63,18 @@
         return permit;
     }
 
-    /** Whether a request has been received in part and no other request is being served. */
+    /** Whether a request has been received in part, refused or not, and no other request is being served. */
     boolean hasPartialRequest() {
-        return receiveProgress.isReceiving() && serveState == ServeState.IDLE;
+        return partialRefused || (receiveProgress.isReceiving() && serveState == ServeState.IDLE);
+    }
+
+    /** Refuses a request that has been received in part, unless its rest has been read and waits to be decoded. */
+    void refusePartialRequest() {
+        input.readNow();
+        if (hasPartialRequest() && !partialRefused && input.isReceiving()) {
+            partialRefused = true;
+            onMalformed(HttpResponseStatus.SERVICE_UNAVAILABLE, "shutting down");
+        }
     }
 
     /** Whether a request has been received that waits for the responses to those before it. */
@@ -115,21 +125,12 @@
         }
         if (input.isStreaming() || output.hasUnsentResponse()) {
             long progress = input.streamedBytes() + output.progress();
-            boolean readingPaused = input.isStreaming() && !input.isWaitingForInput();
-            if (timeouts.isStalled(progress, readingPaused, nowNanos)) {
-                abortStalled();
+            if (timeouts.isStalled(progress, input.isStreamPaused(), nowNanos)) {
+                output.abortStalled();
             }
         }
     }
 
-    private void abortStalled() {
-        if (output.hasUnsentResponse()) {
-            output.abortStalled();
-        } else {
-            close("request body stalled");
-        }
-    }
-
     /** Called after the connection has been closed by either side. */
     void onClosed() {
         abandonPendingResponse();
@@ -187,7 +188,7 @@
         return Admission.REJECT_IN_TURN;
     }
 
-    /** Called when input can't wait for want of memory: it is decoded at once, and its requests are rejected. */
+    /** Called when input can't wait for want of memory: it is decoded now, and its requests are rejected. */
     void inputExceedsMemory() {
         rejectingPipelined = true;
         input.resume();
@@ -369,8 +370,7 @@
         output.stream(response, mayStayOpen(keepAlive), http10);
     }
 
-    // As a separate task: with many pipelined requests that are answered immediately, recursion would overflow the
-    // stack and delay all other clients.
+    // As a separate task: recursion over many pipelined requests would overflow the stack and delay other clients.
     private void scheduleNext() {
         if (serveState == ServeState.IDLE && (inputClosedReason != null || !queue.isEmpty()) && memory.mayRespond()) {
             serveState = ServeState.SERVING;
--- a/src/main/java/loadbalancer/downstream/http1/Http1Listener.java
+++ b/src/main/java/loadbalancer/downstream/http1/Http1Listener.java
@@ -214,11 +214,12 @@
      * Observes the connections for the shutdown of a process.
      *
      * @param pendingResponses the responses that the process owes, without those to pipelined requests that wait
+     * @param otherPartialRequests the requests that other listeners have received in part
      * @param otherUnsentResponses the responses of other listeners that have not been sent completely
      */
-    public ShutdownDrain.Observation observe(int pendingResponses, int otherUnsentResponses) {
+    public ShutdownDrain.Observation observe(int pendingResponses, int otherPartialRequests, int otherUnsentResponses) {
         int pipelinedRequests = 0;
-        int partialRequests = 0;
+        int partialRequests = otherPartialRequests;
         int idle = 0;
         int unsentResponses = otherUnsentResponses;
         for (Http1ClientConnection connection : connections) {
@@ -237,6 +238,18 @@
                 System.nanoTime());
     }
 
+    /**
+     * Refuses the requests that have been received in part. Where all of one has been read, or is read now, it is
+     * decoded instead.
+     */
+    public void refusePartialRequests() {
+        for (Http1ClientConnection connection : List.copyOf(connections)) {
+            if (connections.contains(connection) && connection.hasPartialRequest()) {
+                connection.refusePartialRequest();
+            }
+        }
+    }
+
     /** The number of open client connections. */
     public int connectionCount() {
         return connections.size();
--- a/src/main/java/loadbalancer/downstream/http3/Http3ClientConnection.java
+++ b/src/main/java/loadbalancer/downstream/http3/Http3ClientConnection.java
@@ -141,6 +141,17 @@
                 streams.stream().filter(Http3RequestStream::hasUnsentResponse).count();
     }
 
+    /** The number of requests that have been received in part. */
+    int partialRequests() {
+        return (int)
+                streams.stream().filter(Http3RequestStream::isReceivingRequest).count();
+    }
+
+    /** Refuses the requests that have been received in part. */
+    void refusePartialRequests() {
+        List.copyOf(streams).forEach(Http3RequestStream::refuseIfPartial);
+    }
+
     /** Ends the streams that exceed a timeout. */
     void checkTimeouts(long nowNanos) {
         for (Http3RequestStream stream : List.copyOf(streams)) {
--- a/src/main/java/loadbalancer/downstream/http3/Http3Listener.java
+++ b/src/main/java/loadbalancer/downstream/http3/Http3Listener.java
@@ -204,6 +204,19 @@
                 .sum();
     }
 
+    /** The number of requests, over all connections, that have been received in part. */
+    public int partialRequests() {
+        return connections.stream()
+                .mapToInt(Http3ClientConnection::partialRequests)
+                .sum();
+    }
+
+    /** Refuses the requests that have been received in part, except those that are complete with what is read now. */
+    public void refusePartialRequests() {
+        readNow();
+        connections().forEach(Http3ClientConnection::refusePartialRequests);
+    }
+
     /** Closes all connections; called once all accepted requests have been answered. */
     public void closeConnections() {
         if (!timeoutChecks.cancel(false)) {
--- a/src/main/java/loadbalancer/downstream/http3/Http3RequestStream.java
+++ b/src/main/java/loadbalancer/downstream/http3/Http3RequestStream.java
@@ -82,6 +82,18 @@
         }
     }
 
+    /** Whether the request has not been received completely, and has no response yet. */
+    boolean isReceivingRequest() {
+        return state == State.OPEN && !messageState.isComplete() && !rejectedByGoAway;
+    }
+
+    /** Refuses the request if it has not been received completely. */
+    void refuseIfPartial() {
+        if (isReceivingRequest()) {
+            respond(503, "shutting down");
+        }
+    }
+
     /** Whether a response has not been accepted by the client's flow-control window completely. */
     boolean hasUnsentResponse() {
         return state == State.RESPONDED && unreadBytes > 0;
--- a/src/main/java/loadbalancer/lifecycle/ShutdownDrain.java
+++ b/src/main/java/loadbalancer/lifecycle/ShutdownDrain.java
@@ -1,7 +1,8 @@
 package loadbalancer.lifecycle;
 
 /**
- * The last phase of a graceful shutdown: decides when the listener is closed and when the process may end.
+ * The last phase of a graceful shutdown: decides when the listener is closed, until when requests that are received are
+ * forwarded, and when the process may end.
  *
  * <p>Elapsed time alone does not show that all requests have been read: after a stall of the process, its timers are
  * due while connections and requests that the kernel accepted during the stall are still unread. The caller therefore
@@ -9,6 +10,10 @@
  * passes that found nothing new. The limits are numbers of observations, so that a stall does not use them up; where
  * passes are long, as beside a crowd, fewer suffice once the time for which the limit stands has elapsed.
  *
+ * <p>Requests that have been received in part are awaited while there is time to forward them. From {@link
+ * Step#STOP_FORWARDING} on nothing is forwarded: what is complete later is rejected and the rest is refused, so that no
+ * request is under way at an upstream when the process ends.
+ *
  * <p>Does no I/O and uses no clock. Not thread-safe.
  */
 public final class ShutdownDrain {
@@ -18,6 +23,8 @@
         CONTINUE,
         /** Close the listener, then make another observation. */
         CLOSE_LISTENER,
+        /** Forward nothing from now on, and refuse partial requests before each further observation. */
+        STOP_FORWARDING,
         /** The process may end. */
         EXIT
     }
@@ -28,7 +35,7 @@
      * @param acceptedConnections connections accepted since the start
      * @param reads reads from client connections since the start
      * @param pendingResponses final responses that have not been passed to their connections
-     * @param partialRequests open connections that have sent part of a request
+     * @param partialRequests open connections that have sent part of a request, whether or not it has been refused
      * @param idleConnections open connections that may still send a request
      * @param unsentResponses open connections whose responses have not been written completely
      * @param atNanos when the observation was made, by a monotonic clock
@@ -44,28 +51,36 @@
 
     private enum Phase {
         ACCEPTING,
-        LISTENER_CLOSED
+        LISTENER_CLOSED,
+        FORWARDING_STOPPED
     }
 
     /** Number of consecutive unchanged observations that end a phase. */
     private static final int UNCHANGED_OBSERVATIONS = 2;
     /**
-     * Number of observations after which the listener is closed even if new connections are still accepted, and, in the
-     * next phase, for which the remainder of partial requests is awaited.
+     * Number of observations after which changes are not waited for any longer: the listener is closed even if new
+     * connections are still accepted, and forwarding stops even if clients go on sending after their last response.
      */
     private static final int MAX_CHANGED_OBSERVATIONS = 80;
     /** The time for which changes are waited for in a phase, where requests have long deadlines. */
     private static final long MAX_CHANGED_NANOS = 400_000_000;
-    /** Part of the longest deadline that is left for the last responses and the end of the process. */
-    private static final long EXIT_NANOS = 100_000_000;
     /** The number of them that suffices when that time has elapsed. */
     private static final int MIN_LONG_OBSERVATIONS = 16;
+    /** Part of the longest deadline that is left for the last responses and the end of the process. */
+    private static final long EXIT_NANOS = 100_000_000;
+    /** The number of phases that share the rest of the longest deadline. */
+    private static final int WAITING_PHASES = 2;
+    /** Number of observations in a phase after which the time for forwarding may end it: all that came has been read. */
+    private static final int MIN_OBSERVATIONS = 2;
+    /** How long refused clients may take to read their responses before the process ends. */
+    private static final long MAX_REFUSED_NANOS = 100_000_000;
     /**
      * Number of observations for which the write of unsent responses is awaited. They are made at intervals of at least
      * 5 ms, so this is longer than a client may go without reading: its connection is closed before.
      */
     private static final int MAX_UNSENT_RESPONSE_OBSERVATIONS = 3_600;
 
+    private final long forwardingEndsAtNanos;
     private final long maxChangedNanos; // in a phase
     private Phase phase = Phase.ACCEPTING;
     private Observation previous;
@@ -77,11 +92,13 @@
      * Creates a drain in its first phase. Its phases wait for changes no longer than requests may take, as the process
      * is killed the sooner, the shorter their deadlines are.
      *
+     * @param forwardingEndsAtNanos until when requests may be forwarded, by the clock of the observations
      * @param longestDeadlineNanos the longest deadline of a request
      */
-    public ShutdownDrain(long longestDeadlineNanos) {
+    public ShutdownDrain(long forwardingEndsAtNanos, long longestDeadlineNanos) {
+        this.forwardingEndsAtNanos = forwardingEndsAtNanos;
         long drainNanos = longestDeadlineNanos - EXIT_NANOS;
-        maxChangedNanos = Math.min(MAX_CHANGED_NANOS, drainNanos / Phase.values().length);
+        maxChangedNanos = Math.min(MAX_CHANGED_NANOS, drainNanos / WAITING_PHASES);
     }
 
     /** Processes an observation made after a pass over the sockets; no call may follow {@link Step#EXIT}. */
@@ -91,18 +108,19 @@
             phaseBeganNanos = current.atNanos();
         }
         previous = current;
-        if (phase == Phase.ACCEPTING) {
-            return observeAccepting(current);
-        }
-        // Clients that go on sending a part of a request do not keep the process.
-        boolean settled = unchangedObservations >= UNCHANGED_OBSERVATIONS || isOverdue(current);
-        return isDrained(current) && settled ? Step.EXIT : Step.CONTINUE;
+        return switch (phase) {
+            case ACCEPTING -> isSettled(current) ? enter(Phase.LISTENER_CLOSED, Step.CLOSE_LISTENER) : Step.CONTINUE;
+            case LISTENER_CLOSED ->
+                mayStopForwarding(current) ? enter(Phase.FORWARDING_STOPPED, Step.STOP_FORWARDING) : Step.CONTINUE;
+            case FORWARDING_STOPPED -> mayExit(current) ? Step.EXIT : Step.CONTINUE;
+        };
     }
 
-    /** Whether changes are not waited for any longer in this phase. */
-    private boolean isOverdue(Observation current) {
-        return observations >= MAX_CHANGED_OBSERVATIONS
-                || (observations >= MIN_LONG_OBSERVATIONS && current.atNanos() - phaseBeganNanos >= maxChangedNanos);
+    private Step enter(Phase next, Step step) {
+        phase = next;
+        observations = 0;
+        unchangedObservations = 0;
+        return step;
     }
 
     private boolean isUnchanged(Observation current) {
@@ -111,20 +129,33 @@
                 && previous.reads() == current.reads();
     }
 
-    private Step observeAccepting(Observation current) {
-        if (unchangedObservations < UNCHANGED_OBSERVATIONS && !isOverdue(current)) {
-            return Step.CONTINUE;
-        }
-        phase = Phase.LISTENER_CLOSED;
-        observations = 0;
-        unchangedObservations = 0;
-        return Step.CLOSE_LISTENER;
+    /** Whether nothing has changed for a while, or changes are not waited for any longer in this phase. */
+    private boolean isSettled(Observation current) {
+        return unchangedObservations >= UNCHANGED_OBSERVATIONS
+                || observations >= MAX_CHANGED_OBSERVATIONS
+                || (observations >= MIN_LONG_OBSERVATIONS && sincePhaseBeganNanos(current) >= maxChangedNanos);
+    }
+
+    private long sincePhaseBeganNanos(Observation current) {
+        return current.atNanos() - phaseBeganNanos;
+    }
+
+    private boolean isForwardingOver(Observation current) {
+        return observations >= MIN_OBSERVATIONS && current.atNanos() - forwardingEndsAtNanos >= 0;
+    }
+
+    private boolean mayStopForwarding(Observation current) {
+        boolean drained =
+                current.pendingResponses() == 0 && current.idleConnections() == 0 && current.partialRequests() == 0;
+        return (drained && isSettled(current)) || isForwardingOver(current);
     }
 
-    private boolean isDrained(Observation current) {
-        return current.pendingResponses() == 0
+    private boolean mayExit(Observation current) {
+        boolean refused = current.partialRequests() == 0 || sincePhaseBeganNanos(current) >= MAX_REFUSED_NANOS;
+        return observations >= MIN_OBSERVATIONS
+                && current.pendingResponses() == 0
                 && current.idleConnections() == 0
-                && (current.partialRequests() == 0 || isOverdue(current))
+                && refused
                 && (current.unsentResponses() == 0 || observations >= MAX_UNSENT_RESPONSE_OBSERVATIONS);
     }
 }
--- a/src/main/java/loadbalancer/proxy/AttemptExecutor.java
+++ b/src/main/java/loadbalancer/proxy/AttemptExecutor.java
@@ -28,6 +28,7 @@
     private final Listener listener;
     private AttemptTransport transport;
     private RequestLog requestLog = RequestLog.OFF;
+    private boolean forwardingStopped;
 
     AttemptExecutor(
             Clock clock,
@@ -51,6 +52,15 @@
         requestLog = log;
     }
 
+    /** From now on no attempt starts, and none of those that have been chosen is sent. */
+    void stopForwarding() {
+        forwardingStopped = true;
+    }
+
+    boolean isForwardingStopped() {
+        return forwardingStopped;
+    }
+
     /**
      * Starts an attempt, or ends it as NOT_SENT if the limits of the request no longer allow it.
      *
@@ -61,7 +71,8 @@
         long now = clock.now();
         ProxyAttempt attempt = pending.addAttempt(now);
         long responseTimeoutMicros = deadlines.attemptTimeoutMicros(pending, timeoutMicros, now);
-        boolean mayStart = responseTimeoutMicros > 0 && startWithinMicros > 0 && pending.allows(attempt);
+        boolean mayStart =
+                !forwardingStopped && responseTimeoutMicros > 0 && startWithinMicros > 0 && pending.allows(attempt);
         requestLog.attempt(RequestLog.Event.ATTEMPT_STARTED, pending.clientId(), attempt.number(), server);
         if (!mayStart) {
             end(attempt, Policy.Outcome.NOT_SENT, null, null);
@@ -170,7 +181,7 @@
         public long awaitedUntilMicros() {
             long readAtMicros = clock.now();
             pending.response().readConnection();
-            if (attempt.hasEnded()) {
+            if (attempt.hasEnded() || forwardingStopped) {
                 return SendGuard.NOT_AWAITED;
             }
             if (pending.isClosed()) {
--- a/src/main/java/loadbalancer/proxy/Dispatcher.java
+++ b/src/main/java/loadbalancer/proxy/Dispatcher.java
@@ -127,7 +127,11 @@
         deadlines.arm(pending);
         requestLog.request(RequestLog.Event.REQUEST_TAKEN, request.id(), pending.deadlineMicros() - now());
         deadlines.trackUpload(upload, pending);
-        policyEvents.submit(now -> notifyPolicy(pending, now));
+        if (attempts.isForwardingStopped()) {
+            finalResponses.endUnforwarded(pending);
+        } else {
+            policyEvents.submit(now -> notifyPolicy(pending, now));
+        }
         return () -> finalResponses.clientDisconnected(pending);
     }
 
@@ -199,6 +203,9 @@
             } else if (response != null && response.remainingBody() != null) {
                 response.remainingBody().cancel(); // no client receives this response
             }
+            if (attempts.isForwardingStopped()) {
+                finalResponses.endUnforwarded(pending);
+            }
             // isClosed() is evaluated when the policy handles this event, which may be later than now.
             policyEvents.submit(now -> policy.outcome(
                     now, pending.id(), attempt.number(), outcome, latency, pending.isClosed(), load, Dispatcher.this));
@@ -245,6 +252,19 @@
         return deadlines.limitDeadlines(boot.settings().classes(), slackMicros);
     }
 
+    /**
+     * Forwards nothing from now on, neither requests that are received later nor retries, hedged requests and the rest
+     * of uploads; idempotent. Requests without an attempt at an upstream get their final response, others get it when
+     * their last attempt ends.
+     */
+    public void stopForwarding() {
+        attempts.stopForwarding();
+        for (PendingRequest pending : requests.unfinished()) {
+            attempts.withdrawUnsent(pending);
+            finalResponses.endUnforwarded(pending);
+        }
+    }
+
     /** Stops notifying the policy, which then requests no more actions. */
     public void stopPolicyEvents() {
         policyEvents.stop();
@@ -297,7 +317,7 @@
     public void fail(String request) {
         PendingRequest pending = requests.find(request);
         if (pending != null && !pending.isClosed()) {
-            finalResponses.fail(pending);
+            finalResponses.fail(pending, "policy");
         }
     }
 
--- a/src/main/java/loadbalancer/proxy/FinalResponses.java
+++ b/src/main/java/loadbalancer/proxy/FinalResponses.java
@@ -9,6 +9,8 @@
  * the attempts that have not been sent. To be used on the event loop.
  */
 final class FinalResponses {
+    private static final long NO_RETRY_AFTER = 0;
+
     private final Clock clock;
     private final RequestTable requests;
     private final RequestDeadlines deadlines;
@@ -68,15 +70,28 @@
         releaseAttempts(pending);
     }
 
-    /** Fails an open request. */
-    void fail(PendingRequest pending) {
+    /** Fails an open request; {@code reason} is logged. */
+    void fail(PendingRequest pending, String reason) {
         close(pending);
         metrics.failed();
-        requestLog.request(RequestLog.Event.RESPONSE_FAILED, pending.clientId(), "policy");
+        requestLog.request(RequestLog.Event.RESPONSE_FAILED, pending.clientId(), reason);
         pending.response().fail();
         releaseAttempts(pending);
     }
 
+    /** Responds to a request that is forwarded no more, unless it is closed or has an attempt under way. */
+    void endUnforwarded(PendingRequest pending) {
+        if (pending.isClosed() || pending.attemptsInFlight() > 0) {
+            return;
+        }
+        if (pending.mayHaveRun()) {
+            fail(pending, "forwarding_stopped");
+        } else {
+            reject(pending, NO_RETRY_AFTER);
+        }
+        notifyPolicy(pending);
+    }
+
     /**
      * Fails a request, unless it is closed, while its client still waits: the policy has requested no response, or has
      * thrown.
--- a/src/main/java/loadbalancer/proxy/RequestTable.java
+++ b/src/main/java/loadbalancer/proxy/RequestTable.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import loadbalancer.policy.Policy;
@@ -37,6 +38,11 @@
         return requestsById.get(id);
     }
 
+    /** Returns a copy of the list of all requests that are not finished. */
+    List<PendingRequest> unfinished() {
+        return List.copyOf(requestsById.values());
+    }
+
     /** Whether a request with this client-assigned id is not finished. */
     boolean isOpen(String clientId) {
         return clientIds.contains(clientId);
--- a/src/main/java/loadbalancer/server/GracefulShutdown.java
+++ b/src/main/java/loadbalancer/server/GracefulShutdown.java
@@ -15,6 +15,8 @@
     private static final long LINGER_MILLIS = TimeUnit.NANOSECONDS.toMillis(LifeCycle.DRAIN_LINGER_NANOS);
     /** The platform kills a process no sooner than 0.7 s and the longest deadline after SIGTERM. */
     private static final long LAST_RESPONSE_MICROS = 600_000;
+    /** Part of that time in which nothing is forwarded any more: what has been forwarded before is still answered. */
+    private static final long ANSWERING_MICROS = 200_000;
 
     private static final long OBSERVATION_INTERVAL_MILLIS = 5;
     /** For the last responses to reach their clients. */
@@ -22,8 +24,10 @@
 
     private final ServerComponents server;
     private final CountDownLatch stopped = new CountDownLatch(1);
-    private ShutdownDrain drain; // on the loop only
-    private long requestedAtNanos; // on the loop only
+    // On the loop only.
+    private ShutdownDrain drain;
+    private long requestedAtNanos;
+    private boolean forwardingStopped;
 
     GracefulShutdown(ServerComponents server) {
         this.server = server;
@@ -32,13 +36,7 @@
     /** Shuts down and returns when all requests have been answered. */
     void stop() {
         long nowNanos = System.nanoTime();
-        server.loop.execute(() -> {
-            requestedAtNanos = nowNanos;
-            server.lifeCycle.stop(System.nanoTime());
-            long longestDeadlineMicros = server.dispatcher.beginShutdown(LAST_RESPONSE_MICROS);
-            drain = new ShutdownDrain(TimeUnit.MICROSECONDS.toNanos(longestDeadlineMicros));
-            server.taskFailures.run(server.extension::stopping);
-        });
+        server.loop.execute(() -> begin(nowNanos));
         ReadBeforeTimers.schedule(server.loop, LINGER_MILLIS, TimeUnit.MILLISECONDS, this::observe);
         await();
         server.log.accept("event=stopped " + server.dispatcher.summary() + "; " + server.taskFailures.summary() + "; "
@@ -49,6 +47,19 @@
         }
     }
 
+    // The platform's time counts from the signal, not from when the loop learns of it.
+    private void begin(long stopRequestedAtNanos) {
+        requestedAtNanos = stopRequestedAtNanos;
+        server.lifeCycle.stop(System.nanoTime());
+        long elapsedMicros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - requestedAtNanos);
+        long longestMicros = server.dispatcher.beginShutdown(LAST_RESPONSE_MICROS - elapsedMicros);
+        long forwardingMicros = longestMicros + LAST_RESPONSE_MICROS - ANSWERING_MICROS;
+        drain = new ShutdownDrain(
+                requestedAtNanos + TimeUnit.MICROSECONDS.toNanos(forwardingMicros),
+                TimeUnit.MICROSECONDS.toNanos(longestMicros));
+        server.taskFailures.run(server.extension::stopping);
+    }
+
     /** Waits for the end of a shutdown, whoever began it. */
     void await() {
         try {
@@ -86,26 +97,43 @@
 
     /** Takes the next step; returns whether it was the last one. */
     private boolean advance() {
+        if (forwardingStopped) {
+            refusePartialRequests();
+        }
         // A response that is being streamed takes as long as it takes.
         int streamedResponses = server.listener.isStreamingResponse() ? 1 : 0;
         int pendingResponses = server.dispatcher.pendingResponses() + streamedResponses;
-        ShutdownDrain.Observation observation =
-                server.listener.observe(pendingResponses, server.extension.unsentResponses());
+        ShutdownDrain.Observation observation = server.listener.observe(
+                pendingResponses, server.extension.partialRequests(), server.extension.unsentResponses());
         ShutdownDrain.Step step = drain.observe(observation);
         if (step != ShutdownDrain.Step.CONTINUE) {
             log(step, observation);
         }
-        if (step == ShutdownDrain.Step.EXIT) {
-            end();
-            return true;
+        switch (step) {
+            case CLOSE_LISTENER -> closeListener();
+            case STOP_FORWARDING -> stopForwarding();
+            case EXIT -> end();
+            case CONTINUE -> {}
         }
-        if (step == ShutdownDrain.Step.CLOSE_LISTENER) {
-            server.lifeCycle.markListenerClosed();
-            server.taskFailures.run(server.listener::stopAccepting);
-            server.taskFailures.run(server.listener::applyLifeCycle);
-            server.taskFailures.run(server.extension::close);
-        }
-        return false;
+        return step == ShutdownDrain.Step.EXIT;
+    }
+
+    private void closeListener() {
+        server.lifeCycle.markListenerClosed();
+        server.taskFailures.run(server.listener::stopAccepting);
+        server.taskFailures.run(server.listener::applyLifeCycle);
+        server.taskFailures.run(server.extension::close);
+    }
+
+    private void stopForwarding() {
+        forwardingStopped = true;
+        server.taskFailures.run(server.dispatcher::stopForwarding);
+        refusePartialRequests();
+    }
+
+    private void refusePartialRequests() {
+        server.taskFailures.run(server.listener::refusePartialRequests);
+        server.taskFailures.run(server.extension::refusePartialRequests);
     }
 
     private void log(ShutdownDrain.Step step, ShutdownDrain.Observation observation) {
--- a/src/main/java/loadbalancer/server/NoExtension.java
+++ b/src/main/java/loadbalancer/server/NoExtension.java
@@ -43,6 +43,14 @@
     @Override
     public void stopping() {}
 
+    @Override
+    public int partialRequests() {
+        return 0;
+    }
+
+    @Override
+    public void refusePartialRequests() {}
+
     @Override
     public int unsentResponses() {
         return 0;
--- a/src/main/java/loadbalancer/server/ServerExtension.java
+++ b/src/main/java/loadbalancer/server/ServerExtension.java
@@ -57,6 +57,12 @@
         /** The balancer is about to stop or to be evacuated: clients are notified. */
         void stopping();
 
+        /** The number of requests that have been received in part. */
+        int partialRequests();
+
+        /** Refuses the requests that have been received in part. */
+        void refusePartialRequests();
+
         /** The number of responses that have not been sent to their clients completely. */
         int unsentResponses();
 
--- a/src/main/java/loadbalancer/server/http3/Http3ServerExtension.java
+++ b/src/main/java/loadbalancer/server/http3/Http3ServerExtension.java
@@ -111,6 +111,18 @@
             }
         }
 
+        @Override
+        public int partialRequests() {
+            return listener == null ? 0 : listener.partialRequests();
+        }
+
+        @Override
+        public void refusePartialRequests() {
+            if (listener != null) {
+                listener.refusePartialRequests();
+            }
+        }
+
         @Override
         public int unsentResponses() {
             return listener == null ? 0 : listener.unsentResponses();
