--- a/src/main/java/loadbalancer/lifecycle/ShutdownDrain.java
+++ b/src/main/java/loadbalancer/lifecycle/ShutdownDrain.java
@@ -8,7 +8,7 @@
  * due while connections and requests that the kernel accepted during the stall are still unread. The caller therefore
  * makes repeated observations, each after a pass of the event loop over its sockets, and the drain advances only after
  * passes that found nothing new. The limits are numbers of observations, so that a stall does not use them up; where
- * passes are long, as beside a crowd, fewer suffice once the time for which the limit stands has elapsed.
+ * passes are long, as beside a crowd, fewer suffice once the time for which the limit stands has been spent in passes.
  *
  * <p>Requests that have been received in part are awaited while there is time to forward them. From {@link
  * Step#STOP_FORWARDING} on nothing is forwarded: what is complete later is rejected and the rest is refused, so that no
@@ -66,6 +66,8 @@
     private static final long MAX_CHANGED_NANOS = 400_000_000;
     /** The number of them that suffices when that time has elapsed. */
     private static final int MIN_LONG_OBSERVATIONS = 16;
+    /** Time between two observations that counts as a pass over the sockets; what exceeds it is a stall. */
+    private static final long MAX_PASS_NANOS = 50_000_000;
     /** Part of the longest deadline that is left for the last responses and the end of the process. */
     private static final long EXIT_NANOS = 100_000_000;
     /** The number of phases that share the rest of the longest deadline. */
@@ -87,6 +89,7 @@
     private int observations; // in this phase
     private int unchangedObservations; // in a row, in this phase
     private long phaseBeganNanos;
+    private long passNanos; // of all passes in this phase
 
     /**
      * Creates a drain in its first phase. Its phases wait for changes no longer than requests may take, as the process
@@ -106,10 +109,12 @@
         unchangedObservations = isUnchanged(current) ? unchangedObservations + 1 : 0;
         if (observations++ == 0) {
             phaseBeganNanos = current.atNanos();
+        } else {
+            passNanos += Math.min(MAX_PASS_NANOS, current.atNanos() - previous.atNanos());
         }
         previous = current;
         return switch (phase) {
-            case ACCEPTING -> isSettled(current) ? enter(Phase.LISTENER_CLOSED, Step.CLOSE_LISTENER) : Step.CONTINUE;
+            case ACCEPTING -> isSettled() ? enter(Phase.LISTENER_CLOSED, Step.CLOSE_LISTENER) : Step.CONTINUE;
             case LISTENER_CLOSED ->
                 mayStopForwarding(current) ? enter(Phase.FORWARDING_STOPPED, Step.STOP_FORWARDING) : Step.CONTINUE;
             case FORWARDING_STOPPED -> mayExit(current) ? Step.EXIT : Step.CONTINUE;
@@ -120,6 +125,7 @@
         phase = next;
         observations = 0;
         unchangedObservations = 0;
+        passNanos = 0;
         return step;
     }
 
@@ -130,14 +136,10 @@
     }
 
     /** Whether nothing has changed for a while, or changes are not waited for any longer in this phase. */
-    private boolean isSettled(Observation current) {
+    private boolean isSettled() {
         return unchangedObservations >= UNCHANGED_OBSERVATIONS
                 || observations >= MAX_CHANGED_OBSERVATIONS
-                || (observations >= MIN_LONG_OBSERVATIONS && sincePhaseBeganNanos(current) >= maxChangedNanos);
-    }
-
-    private long sincePhaseBeganNanos(Observation current) {
-        return current.atNanos() - phaseBeganNanos;
+                || (observations >= MIN_LONG_OBSERVATIONS && passNanos >= maxChangedNanos);
     }
 
     private boolean isForwardingOver(Observation current) {
@@ -147,11 +149,11 @@
     private boolean mayStopForwarding(Observation current) {
         boolean drained =
                 current.pendingResponses() == 0 && current.idleConnections() == 0 && current.partialRequests() == 0;
-        return (drained && isSettled(current)) || isForwardingOver(current);
+        return (drained && isSettled()) || isForwardingOver(current);
     }
 
     private boolean mayExit(Observation current) {
-        boolean refused = current.partialRequests() == 0 || sincePhaseBeganNanos(current) >= MAX_REFUSED_NANOS;
+        boolean refused = current.partialRequests() == 0 || current.atNanos() - phaseBeganNanos >= MAX_REFUSED_NANOS;
         return observations >= MIN_OBSERVATIONS
                 && current.pendingResponses() == 0
                 && current.idleConnections() == 0
--- a/src/test/java/loadbalancer/lifecycle/ShutdownDrainTest.java
+++ b/src/test/java/loadbalancer/lifecycle/ShutdownDrainTest.java
@@ -264,6 +264,7 @@
                 balancer.simulateClients(observations < 20 ? 1 : 0);
                 if (observations == stalledObservation) {
                     balancer.simulateClients(200); // the process stalls while clients go on, then its timers are due
+                    balancer.nowNanos += TimeUnit.MILLISECONDS.toNanos(new SplittableRandom(seed).nextInt(4_000));
                 }
                 balancer.runLoopPass();
                 balancer.refusePartialRequests();
