Decide at the first byte whether servers still drop a keyed request as a repeat

Cause, by the request log: attempt 0 waits for its connection; attempt 1 is chosen, rightly, and sent at once; 0.8 s later attempt 0's connection is up, and it is sent. Window and group were asked when an attempt was chosen, and only for what was a repeat by the order of choice.

RepeatGuard decides from the attempts that have been sent and may have run: the same group as each by the present endpoint list, within the window of the earliest. AttemptExecutor asks it before the first byte of each attempt of either transport; the permit ends with the window. An attempt that is refused ends as not sent, and the request goes on as one that may have run.

--- a/src/main/java/loadbalancer/policy/Policy.java
+++ b/src/main/java/loadbalancer/policy/Policy.java
@@ -29,7 +29,16 @@
     enum Scope {
         ALL,
         ZONE,
-        CELL
+        CELL;
+
+        /** Whether {@code other} drops a repeat of a request that was sent to {@code first}. */
+        public boolean isSameGroup(Server first, Server other) {
+            return switch (this) {
+                case ALL -> true;
+                case ZONE -> other.zone() == first.zone() && other.zone() >= 0;
+                case CELL -> other.cell() == first.cell() && other.cell() >= 0;
+            };
+        }
     }
 
     /** How the endpoint list is discovered: updates arrive unrequested, or only after a watch or fetch. */
--- a/src/main/java/loadbalancer/policy/RequestState.java
+++ b/src/main/java/loadbalancer/policy/RequestState.java
@@ -119,11 +119,7 @@
         if (isUnsafe() || deduplicationTimeLeftMicros(nowMicros, sweepIntervalMicros) <= 0) {
             return false;
         }
-        return switch (requestClass.scope()) {
-            case ALL -> true;
-            case ZONE -> candidate.endpoint.zone() == first.endpointAtSend.zone() && candidate.endpoint.zone() >= 0;
-            case CELL -> candidate.endpoint.cell() == first.endpointAtSend.cell() && candidate.endpoint.cell() >= 0;
-        };
+        return requestClass.scope().isSameGroup(first.endpointAtSend, candidate.endpoint);
     }
 
     /**
--- a/src/main/java/loadbalancer/proxy/AddressOwners.java
+++ b/src/main/java/loadbalancer/proxy/AddressOwners.java
@@ -37,6 +37,12 @@
         return new EndpointUpdate(update.version(), update.complete(), new ArrayList<>(resolved.values()));
     }
 
+    /** Returns the upstream's entry in the endpoint list, as the list names it, or null if there is none. */
+    Policy.Server listed(String id) {
+        EndpointUpdate.Endpoint entry = listed.get(id);
+        return entry == null ? null : entry.server();
+    }
+
     // Entries of one update that share an address from the beginning are one server under several names.
     private void resolveOwner(
             EndpointUpdate.Endpoint entry,
--- a/src/main/java/loadbalancer/proxy/AttemptExecutor.java
+++ b/src/main/java/loadbalancer/proxy/AttemptExecutor.java
@@ -1,6 +1,7 @@
 package loadbalancer.proxy;
 
 import java.util.List;
+import java.util.function.Function;
 import loadbalancer.policy.Policy;
 
 /**
@@ -21,22 +22,28 @@
                 long latencyMicros);
     }
 
+    private static final int UNKNOWN = -1; // a server's cell, model or zone
+
     private final Clock clock;
     private final RequestDeadlines deadlines;
     private final Invariants invariants;
     private final RecentRequestIds recentIds;
+    private final Function<String, Policy.Server> endpoints;
     private final Listener listener;
     private AttemptTransport transport;
     private RequestLog requestLog = RequestLog.OFF;
     private boolean forwardingStopped;
 
+    /** Creates an executor; {@code endpoints} returns the present entry of a server in the endpoint list, or null. */
     AttemptExecutor(
             Clock clock,
             RequestDeadlines deadlines,
             Invariants invariants,
             RecentRequestIds recentIds,
+            Function<String, Policy.Server> endpoints,
             Listener listener) {
         this.recentIds = recentIds;
+        this.endpoints = endpoints;
         this.clock = clock;
         this.deadlines = deadlines;
         this.invariants = invariants;
@@ -89,7 +96,11 @@
             deadlines.arm(attempt);
         }
         attempt.start(transport.send(
-                server, pending.request(), responseTimeoutMicros, startDeadlineMicros, new TransportListener(attempt)));
+                server,
+                pending.request(),
+                responseTimeoutMicros,
+                startDeadlineMicros,
+                new TransportListener(attempt, server)));
     }
 
     /**
@@ -162,13 +173,21 @@
         listener.attemptEnded(attempt, outcome, response, load, latencyMicros);
     }
 
+    private static Policy.Server unknown(String server) {
+        return new Policy.Server(server, Policy.State.GONE, 0, 0, UNKNOWN, UNKNOWN, UNKNOWN);
+    }
+
     /** Receives the transport's reports on one attempt, and its check before the attempt's first byte. */
     private final class TransportListener implements AttemptTransport.Listener {
         private final ProxyAttempt attempt;
         private final PendingRequest pending;
+        private final String server;
+        private final Policy.Server endpointAtChoice; // null if unknown
 
-        TransportListener(ProxyAttempt attempt) {
+        TransportListener(ProxyAttempt attempt, String server) {
             this.attempt = attempt;
+            this.server = server;
+            this.endpointAtChoice = endpoints.apply(server);
             this.pending = attempt.pending();
         }
 
@@ -192,11 +211,28 @@
                 invariants.violated(Invariants.Violation.SECOND_RUN, pending.clientId());
                 return SendGuard.NOT_AWAITED;
             }
+            Policy.Server endpoint = endpoint();
+            long repeatUntilMicros = pending.sendDeadlineMicros(attempt, endpoint);
+            if (readAtMicros >= repeatUntilMicros) {
+                requestLog.attempt(
+                        RequestLog.Event.ATTEMPT_REFUSED, pending.clientId(), attempt.number(), "repeat_not_dropped");
+                return SendGuard.NOT_AWAITED;
+            }
+            attempt.markSent(endpoint, readAtMicros);
             if (pending.effect() != Policy.Effect.SAFE) {
                 recentIds.add(pending.clientId(), readAtMicros);
             }
             logWithElapsedTime(RequestLog.Event.ATTEMPT_SENT);
-            return SendGuard.awaitedUntilMicros(readAtMicros);
+            return Math.min(SendGuard.awaitedUntilMicros(readAtMicros), repeatUntilMicros);
+        }
+
+        // An upstream that has left the list keeps its group for the grace of its drain.
+        private Policy.Server endpoint() {
+            Policy.Server listed = endpoints.apply(server);
+            if (listed != null) {
+                return listed;
+            }
+            return endpointAtChoice == null ? unknown(server) : endpointAtChoice;
         }
 
         @Override
--- a/src/main/java/loadbalancer/proxy/AttemptTransport.java
+++ b/src/main/java/loadbalancer/proxy/AttemptTransport.java
@@ -20,12 +20,13 @@
         void ended(Policy.Outcome outcome, UpstreamResponse response, Policy.Load load);
 
         /**
-         * Checks whether the client still waits for this attempt. To be called right before the attempt's first
+         * Checks whether the client still waits for this attempt, and whether rule 2 still allows it. To be called right before the attempt's first
          * byte and, if the last byte follows much later, before the last byte. Reads the client's connection, so
          * it must not be called from within a read of any connection.
          *
-         * @return the time until which the client is certain to wait, in µs of the balancer's clock;
-         *     {@link SendGuard#NOT_AWAITED} if no client waits, and the attempt has then been withdrawn
+         * @return the time until which the attempt may be sent, in µs of the balancer's clock; {@link
+         *     SendGuard#NOT_AWAITED} if it may not be sent at all: no client waits, and the attempt has then been
+         *     withdrawn, or it may not run any more
          */
         default long awaitedUntilMicros() {
             return Long.MAX_VALUE;
--- a/src/main/java/loadbalancer/proxy/Dispatcher.java
+++ b/src/main/java/loadbalancer/proxy/Dispatcher.java
@@ -45,7 +45,8 @@
         policyEvents = new PolicyEventQueue(stallMonitor, clock, log);
         requests = new RequestTable(scheduler);
         deadlines = new RequestDeadlines(scheduler, clock, stallMonitor, listener);
-        attempts = new AttemptExecutor(clock, deadlines, invariants, requests.recentIds(), listener);
+        attempts = new AttemptExecutor(
+                clock, deadlines, invariants, requests.recentIds(), addressOwners::listed, listener);
         finalResponses = new FinalResponses(
                 clock,
                 requests,
@@ -120,7 +121,8 @@
         StreamedUpload upload = received.remainingBody() == null ? null : new StreamedUpload(received.remainingBody());
         ProxyRequest request = upload == null ? received : received.withBodyStream(upload, received.contentLength());
         int maxAttempts = boot.settings().limits().maxAttempts();
-        PendingRequest pending = new PendingRequest(id, request, response, maxAttempts, effect(request), invariants);
+        PendingRequest pending =
+                new PendingRequest(id, request, response, maxAttempts, requestClass(request), invariants);
         deadlines.assign(pending);
         requests.add(pending);
         pending.setMetrics(metrics.received(request));
@@ -160,11 +162,11 @@
 
     /** Whether a request with this id has not ended, or may have run before and must not run again. */
     public boolean isRepeated(ProxyRequest request) {
-        return requests.isRepeated(request.id(), effect(request), now());
+        return requests.isRepeated(request.id(), requestClass(request).effect(), now());
     }
 
-    private Policy.Effect effect(ProxyRequest request) {
-        return boot.settings().classes().get(request.requestClass()).effect();
+    private Policy.RequestClass requestClass(ProxyRequest request) {
+        return boot.settings().classes().get(request.requestClass());
     }
 
     /** Returns the ids of requests that may have run. */
--- a/src/main/java/loadbalancer/proxy/PendingRequest.java
+++ b/src/main/java/loadbalancer/proxy/PendingRequest.java
@@ -32,7 +32,7 @@
     private final ProxyRequest request;
     private final ResponseWriter response;
     private final int maxAttempts;
-    private final Policy.Effect effect;
+    private final Policy.RequestClass requestClass;
     private final Invariants invariants;
     private final List<ProxyAttempt> attempts = new ArrayList<>(2);
     private State state = State.QUEUED;
@@ -48,20 +48,20 @@
     /**
      * @param id the balancer's internal id of the request, unique in the process
      * @param maxAttempts the limit by the settings under which the request was accepted
-     * @param effect the effect of the request's class, by the same settings
+     * @param requestClass the request's class, by the same settings
      */
     PendingRequest(
             String id,
             ProxyRequest request,
             ResponseWriter response,
             int maxAttempts,
-            Policy.Effect effect,
+            Policy.RequestClass requestClass,
             Invariants invariants) {
         this.id = id;
         this.request = request;
         this.response = response;
         this.maxAttempts = maxAttempts;
-        this.effect = effect;
+        this.requestClass = requestClass;
         this.invariants = invariants;
         this.bodyState = request.remainingBody() == null ? BodyState.COMPLETE : BodyState.RECEIVING;
     }
@@ -136,7 +136,7 @@
 
     /** Whether the request must run only once and an attempt other than {@code attempt} may run or have run. */
     boolean mayRunTwice(ProxyAttempt attempt) {
-        return effect == Policy.Effect.UNSAFE
+        return effect() == Policy.Effect.UNSAFE
                 && attempts.stream().anyMatch(other -> other != attempt && !other.neverRan());
     }
 
@@ -157,7 +157,12 @@
 
     /** Returns the effect of the request's class. */
     Policy.Effect effect() {
-        return effect;
+        return requestClass.effect();
+    }
+
+    /** Returns the time from which {@code attempt}, to {@code server}, may not be sent any more: {@link RepeatGuard}. */
+    long sendDeadlineMicros(ProxyAttempt attempt, Policy.Server server) {
+        return RepeatGuard.sendDeadlineMicros(requestClass, attempts, attempt, server);
     }
 
     /** Returns the balancer's internal id of the request, which the policy uses. */
--- a/src/main/java/loadbalancer/proxy/ProxyAttempt.java
+++ b/src/main/java/loadbalancer/proxy/ProxyAttempt.java
@@ -1,5 +1,7 @@
 package loadbalancer.proxy;
 
+import loadbalancer.policy.Policy;
+
 /**
  * The state of one attempt of a request, from the policy's choice of a server until the outcome is known. Does no I/O
  * and reads no clock. To be used on the event loop's thread; times are in µs.
@@ -29,6 +31,8 @@
     private long beganAtMicros; // the response
     private long progressAtMicros = NO_RESPONSE; // of the response
     private Scheduler.Timer timeoutTimer;
+    private Policy.Server sentTo; // null before its first byte
+    private long sentAtMicros;
 
     ProxyAttempt(PendingRequest pending, int number, long startedAtMicros, Invariants invariants) {
         this.pending = pending;
@@ -67,6 +71,18 @@
         pending.attemptEnded();
     }
 
+    /**
+     * Records that the first byte is sent now, at the earliest; a later call changes nothing.
+     *
+     * @param server the entry of the attempt's server in the endpoint list at that time
+     */
+    void markSent(Policy.Server server, long now) {
+        if (sentTo == null) {
+            sentTo = server;
+            sentAtMicros = now;
+        }
+    }
+
     /** Measures the latency from {@code now}, when the last byte of the request has been received. */
     void restartLatency(long now) {
         startedAtMicros = now;
@@ -115,6 +131,21 @@
         return state == State.ENDED_NEVER_RAN;
     }
 
+    /** Whether the first byte may have been sent. */
+    boolean isSent() {
+        return sentTo != null;
+    }
+
+    /** Returns the entry of the server, in the endpoint list at that time, to which the first byte was sent. */
+    Policy.Server sentTo() {
+        return sentTo;
+    }
+
+    /** Returns the earliest time at which the first byte was sent. */
+    long sentAtMicros() {
+        return sentAtMicros;
+    }
+
     /** Whether the response has begun, completely received or not. */
     boolean hasResponseBegun() {
         return progressAtMicros != NO_RESPONSE;
--- a/src/main/java/loadbalancer/proxy/RequestLog.java
+++ b/src/main/java/loadbalancer/proxy/RequestLog.java
@@ -27,6 +27,7 @@
         ATTEMPT_STARTED,
         ATTEMPT_SENT,
         ATTEMPT_HELD_UP,
+        ATTEMPT_REFUSED,
         ATTEMPT_WITHDRAWN,
         ATTEMPT_GIVEN_UP,
         ATTEMPT_ENDED,
--- a/src/main/java/loadbalancer/upstream/http1/StreamedRequestBody.java
+++ b/src/main/java/loadbalancer/upstream/http1/StreamedRequestBody.java
@@ -2,6 +2,7 @@
 
 import loadbalancer.http1.BodyWriter;
 import loadbalancer.proxy.BodyStream;
+import loadbalancer.proxy.SendGuard;
 
 /**
  * Writes the rest of a streamed request body to an upstream. The last piece is held back until the client is
@@ -46,6 +47,10 @@
         if (!connection.carries(attempt)) { // withdrawn: its client has disconnected
             return;
         }
+        if (untilMicros == SendGuard.NOT_AWAITED) {
+            connection.abortUpload(attempt);
+            return;
+        }
         if (lastPiece != null) {
             writer.write(lastPiece);
         }
--- a/src/test/java/loadbalancer/deployed/DeployedFixture.java
+++ b/src/test/java/loadbalancer/deployed/DeployedFixture.java
@@ -23,6 +23,10 @@
     int deadlineMillis = UNSAFE_DEADLINE_MILLIS; // of the classes without a key
     boolean mayDuplicate = true; // whether a safe request may be tried at two servers at once
     int descriptors = MAX_DESCRIPTORS;
+    int keyedObjectiveMillis = 250;
+    int keyedDeadlineMillis = KEYED_DEADLINE_MILLIS;
+    int keyTtlMillis = 1_000; // for which upstreams drop repeats
+    int connectMillis = 500; // that a connection to an upstream may take
     DeployedBalancer balancer;
 
     DeployedFixture() throws IOException {}
@@ -55,12 +59,13 @@
         String classes = List.of(
                         requestClass(
                                 "book", "unsafe", Math.min(UNSAFE_OBJECTIVE_MILLIS, deadlineMillis), deadlineMillis),
-                        requestClass("pay", "keyed", 250, KEYED_DEADLINE_MILLIS),
+                        requestClass("pay", "keyed", keyedObjectiveMillis, keyedDeadlineMillis),
                         requestClass("read", "safe", Math.min(600, deadlineMillis), deadlineMillis))
                 .stream()
                 .collect(Collectors.joining(","));
         return "{\"Areas\":[\"podrum\"],\"Balancers\":1,\"Rank\":0,\"Locality\":0,\"Classes\":[" + classes
-                + "],\"Kinds\":[\"puni\"],\"Limits\":{\"Cancel\":true,\"DialTimeout\":500000,\"IdleClose\":30000000,"
+                + "],\"Kinds\":[\"puni\"],\"Limits\":{\"Cancel\":true,\"DialTimeout\":" + connectMillis * 1_000
+                + ",\"IdleClose\":30000000,"
                 + "\"MayDuplicate\":" + mayDuplicate
                 + ",\"Probes\":true,\"TryLimit\":3},\"MembershipMode\":\"ask\",\"Quantum\":2000,"
                 + "\"Rules\":{\"AnswerSlack\":8000,\"AskWithin\":10000000,\"ColdFrom\":0.3,\"DrainGrace\":1000000,"
@@ -68,9 +73,10 @@
                 + "\"Stats\":{\"How\":\"answers\",\"Fields\":[\"outstanding\"]}}";
     }
 
-    private static String requestClass(String name, String effect, int objectiveMillis, int deadlineMillis) {
+    private String requestClass(String name, String effect, int objectiveMillis, int deadlineMillis) {
         return "{\"Name\":\"" + name + "\",\"Idempotency\":\"" + effect + "\",\"DedupScope\":\"cell\","
-                + "\"KeyTtl\":1000000,\"GoalTime\":" + objectiveMillis * 1_000 + ",\"GiveUp\":" + deadlineMillis * 1_000
+                + "\"KeyTtl\":" + keyTtlMillis * 1_000 + ",\"GoalTime\":" + objectiveMillis * 1_000 + ",\"GiveUp\":"
+                + deadlineMillis * 1_000
                 + ",\"Gain\":3.0,\"LateShare\":0.2}";
     }
 
--- a/src/test/java/loadbalancer/deployed/RawUpstream.java
+++ b/src/test/java/loadbalancer/deployed/RawUpstream.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -50,6 +51,7 @@
     private final Map<String, List<Long>> runs = new ConcurrentHashMap<>(); // System.nanoTime() by request id
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private final ServerSocket server;
+    private final List<Socket> fillers = new ArrayList<>(); // of the queue of connections
     private final int receiveBufferBytes;
     private final Thread acceptor;
     private volatile Handler handler;
@@ -76,6 +78,32 @@
         acceptor = run(this::accept);
     }
 
+    /**
+     * Listens with a full queue of connections until {@link #acceptLate}: those that are made meanwhile come up when the
+     * client's system tries again, after about a second (Linux).
+     */
+    static RawUpstream late(Handler handler) throws IOException {
+        return new RawUpstream(handler, new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+    }
+
+    private RawUpstream(Handler handler, ServerSocket unaccepted) throws IOException {
+        this.handler = handler;
+        receiveBufferBytes = 0;
+        server = unaccepted;
+        for (int i = 0; i < 2; i++) {
+            fillers.add(new Socket(server.getInetAddress(), server.getLocalPort()));
+        }
+        acceptor = new Thread(() -> {});
+    }
+
+    /** Accepts connections from here on; those that filled the queue are closed. */
+    void acceptLate() throws IOException {
+        run(this::accept);
+        for (Socket filler : fillers) {
+            filler.close();
+        }
+    }
+
     private interface Task {
         void run() throws IOException, InterruptedException;
     }
@@ -125,6 +153,11 @@
         handler = newHandler;
     }
 
+    /** When the request with that id has come whole, by System.nanoTime(). */
+    List<Long> runTimes(String id) {
+        return List.copyOf(runs.getOrDefault(id, List.of()));
+    }
+
     /** How often the request with that id has come whole. */
     int runs(String id) {
         return runs.getOrDefault(id, List.of()).size();
--- a/src/test/java/loadbalancer/proxy/PendingRequestTest.java
+++ b/src/test/java/loadbalancer/proxy/PendingRequestTest.java
@@ -15,7 +15,9 @@
     private PendingRequest pending(Policy.Effect effect) {
         ProxyRequest request =
                 new ProxyRequest("r1", "GET", "/k", HeaderFields.NONE, new byte[0], 0, 0, "k", 100_000, -1, false);
-        return new PendingRequest("1", request, new RecordingResponseWriter(), 2, effect, invariants);
+        Policy.RequestClass requestClass =
+                new Policy.RequestClass(effect, Policy.Scope.ALL, 0, 20_000, 100_000, 0, 1, 0, false);
+        return new PendingRequest("1", request, new RecordingResponseWriter(), 2, requestClass, invariants);
     }
 
     private long illegalTransitions() {
--- a/src/test/java/loadbalancer/proxy/TestSettings.java
+++ b/src/test/java/loadbalancer/proxy/TestSettings.java
@@ -35,8 +35,19 @@
         return boot(new RequestClass("read", idempotency, 20_000, 100_000));
     }
 
+    /** Settings with one class with idempotency keys, whose servers drop repeats in that scope for that time. */
+    static SettingsReader.Boot keyed(String scope, long keyTtlMicros, long deadlineMicros) {
+        return boot(
+                Map.of("Classes.0.DedupScope", scope, "Classes.0.KeyTtl", Long.toString(keyTtlMicros)),
+                new RequestClass("pay", "keyed", 20_000, deadlineMicros));
+    }
+
     /** Settings with the given classes. */
     static SettingsReader.Boot boot(RequestClass... classes) {
+        return boot(Map.of(), classes);
+    }
+
+    private static SettingsReader.Boot boot(Map<String, String> others, RequestClass... classes) {
         Map<String, String> values = new HashMap<>(LIMITS);
         values.putAll(RULES);
         values.put("Balancers", "1");
@@ -52,6 +63,7 @@
             values.put(prefix + "Gain", "4");
             values.put(prefix + "LateShare", "0.25");
         }
+        values.putAll(others);
         return SettingsReader.read(values, (path, what) -> new IllegalArgumentException(path + what));
     }
 }
