Count the time of a long upload from its last byte, also where no upstream has taken it

Cause: the time of an upload counts from its last byte, and that was taken to be when the upstream's connection took it. A body that had been received and waited for its connection had no time at all; the deadline's timer was set anew for as long as that was so. A body stream that is complete now tells how long its last byte is past.

--- a/src/main/java/loadbalancer/downstream/http1/RequestAggregator.java
+++ b/src/main/java/loadbalancer/downstream/http1/RequestAggregator.java
@@ -233,6 +233,7 @@
         private final long contentLength; // negative if unknown
         private long incompleteAtNanos = System.nanoTime(); // until then the time of the request has not begun
         private long receivedBytes;
+        private long completeAtNanos; // when the last byte may have been readable, once it has been received
 
         StreamedBody(Channel channel, long contentLength) {
             super(channel);
@@ -241,6 +242,10 @@
 
         @Override
         public long maxUnreadMicros() {
+            return complete ? TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - completeAtNanos) : maxInSocketMicros();
+        }
+
+        private long maxInSocketMicros() {
             long sinceIncompleteNanos = System.nanoTime() - incompleteAtNanos;
             return Math.min(super.maxUnreadMicros(), TimeUnit.NANOSECONDS.toMicros(sinceIncompleteNanos));
         }
@@ -297,6 +302,7 @@
                 subscriber().onData(ContentBytes.of(content));
             }
             if (last) {
+                completeAtNanos = System.nanoTime() - TimeUnit.MICROSECONDS.toNanos(maxInSocketMicros());
                 complete = true;
                 stream = null;
                 if (hasSubscriber()) {
--- a/src/test/java/loadbalancer/deployed/LateConnectionsTest.java
+++ b/src/test/java/loadbalancer/deployed/LateConnectionsTest.java
@@ -28,6 +28,8 @@
     private static final int ROUNDS = 3;
     private static final int TOLERANCE_MILLIS = 50; // of all limits of time
 
+    private final List<Integer> toldMillis = Collections.synchronizedList(new ArrayList<>()); // by Req-Deadline-Ms
+    private volatile long sentAtNanos;
     private final List<String> answers = Collections.synchronizedList(new ArrayList<>());
 
     LateConnectionsTest() throws IOException {}
@@ -70,6 +72,53 @@
         return times.size() > 1 && times.get(times.size() - 1) - times.get(0) > windowNanos;
     }
 
+    /** Starts a balancer whose only upstream has a full queue of connections, and sends it one request. */
+    private RawUpstream sendOverLateConnection(String kind, String id, int timeMillis, int bodyBytes) throws Exception {
+        connectMillis = 1_500;
+        deadlineMillis = 2_500;
+        keyedObjectiveMillis = 1_500;
+        keyedDeadlineMillis = 2_500;
+        RawUpstream late = open(RawUpstream.late(exchange -> {
+            toldMillis.add(Integer.parseInt(
+                    exchange.head().split("(?i)req-deadline-ms: ")[1].split("\r\n")[0]));
+            handle(exchange);
+        }));
+        start(late);
+        Thread client = start(() -> {
+            try (RawClient connection = new RawClient(balancer.address())) {
+                String head = "POST /api/k1 HTTP/1.1\r\nHost: b\r\nReq-Id: " + id + "\r\nReq-Kind: " + kind
+                        + (kind.equals("pay") ? "\r\nIdempotency-Key: k" : "") + "\r\nReq-Deadline-Ms: " + timeMillis
+                        + "\r\nContent-Length: " + bodyBytes + "\r\n\r\n";
+                sentAtNanos = System.nanoTime();
+                connection.send(head + "p".repeat(bodyBytes));
+                answers.add(id + " " + connection.receive(10_000).status());
+            } catch (IOException e) {
+                answers.add(id + " " + e);
+            }
+        });
+        TimeUnit.MILLISECONDS.sleep(900);
+        late.acceptLate();
+        client.join();
+        TimeUnit.MILLISECONDS.sleep(200);
+        return late;
+    }
+
+    /**
+     * The failure guarded against: a long upload whose connection came up late was run behind its time. The time of an
+     * upload counts from when its last byte came, not from when an upstream took it.
+     */
+    @ParameterizedTest
+    @CsvSource({"100000, 700", "100000, 1000", "100000, 1030", "300000, 1000", "1000, 1000"})
+    void anUploadIsNotRunBehindItsTime(int bodyBytes, int timeMillis) throws Exception {
+        RawUpstream late = sendOverLateConnection("book", "upload", timeMillis, bodyBytes);
+        for (long runAtNanos : late.runTimes("upload")) {
+            long afterMillis = TimeUnit.NANOSECONDS.toMillis(runAtNanos - sentAtNanos);
+            assertTrue(afterMillis <= timeMillis, "run after " + afterMillis + " ms: " + balancer.linesOf("upload"));
+        }
+        assertEquals(1, answers.size());
+        assertTrue(answers.get(0).matches("upload (200|502|503)"), answers.toString());
+    }
+
     @ParameterizedTest
     @CsvSource({"200, 0", "300, 2", "500, 2", "500, 60000", "700, 2"})
     void aKeyedRequestIsNotSentAgainBehindItsWindow(int windowMillis, int bodyBytes) throws Exception {
