Tell an upstream the time that is left when its request is sent

They went on working for a client that had gone.

Http1Attempt and Http3Attempt ask their listener for the time when they write the field.

LateConnectionsTest#anUpstreamIsToldTheTimeThatIsLeftWhenTheRequestIsSent: 2 of 3 cases failed before ("told [1487] after 1005 ms"), all pass.

--- a/src/main/java/loadbalancer/proxy/AttemptExecutor.java
+++ b/src/main/java/loadbalancer/proxy/AttemptExecutor.java
@@ -226,6 +226,15 @@
             return Math.min(SendGuard.awaitedUntilMicros(readAtMicros), repeatUntilMicros);
         }
 
+        // The time-out of an upload begins with its last byte.
+        @Override
+        public long responseTimeLeftMicros() {
+            long now = clock.now();
+            return pending.isReceivingBody()
+                    ? Math.min(attempt.timeoutMicros(), deadlines.attemptTimeLeftMicros(pending, now))
+                    : attempt.startedAtMicros() + attempt.timeoutMicros() - now;
+        }
+
         // An upstream that has left the list keeps its group for the grace of its drain.
         private Policy.Server endpoint() {
             Policy.Server listed = endpoints.apply(server);
--- a/src/main/java/loadbalancer/proxy/AttemptTransport.java
+++ b/src/main/java/loadbalancer/proxy/AttemptTransport.java
@@ -32,6 +32,11 @@
             return Long.MAX_VALUE;
         }
 
+        /** Returns how long the balancer still waits for the response, in µs; the upstream is told no longer time. */
+        default long responseTimeLeftMicros() {
+            return Long.MAX_VALUE;
+        }
+
         /** The head of the final response has been received, or bytes behind it: the response has begun. */
         default void responseProgress() {}
 
--- a/src/main/java/loadbalancer/upstream/http1/Http1Attempt.java
+++ b/src/main/java/loadbalancer/upstream/http1/Http1Attempt.java
@@ -30,6 +30,7 @@
 final class Http1Attempt implements Attempt {
     private static final AsciiString DEADLINE = AsciiString.cached(ProxyRequest.DEADLINE_FIELD);
     private static final long NO_DEADLINE_HEADER = 0;
+    private static final long MICROS_PER_MILLI = 1_000;
 
     private final ProxyRequest request;
     private final long waitMillis; // 0: the upstream is sent no deadline
@@ -144,7 +145,8 @@
     HttpRequest encode(InetSocketAddress upstreamEndpoint) {
         HttpHeaders headers = Http1HeaderFields.toHttpHeaders(request.fields(), Addresses.text(upstreamEndpoint));
         if (waitMillis > NO_DEADLINE_HEADER) {
-            headers.set(DEADLINE, Long.toString(waitMillis));
+            long leftMillis = listener.responseTimeLeftMicros() / MICROS_PER_MILLI; // less than when it was chosen
+            headers.set(DEADLINE, Long.toString(Math.max(1, Math.min(waitMillis, leftMillis))));
         }
         if (hasStreamedBody()) {
             return encodeHead(headers);
--- a/src/main/java/loadbalancer/upstream/http3/Http3Attempt.java
+++ b/src/main/java/loadbalancer/upstream/http3/Http3Attempt.java
@@ -33,6 +33,7 @@
 final class Http3Attempt implements AttemptTransport.Attempt {
     private static final long NO_CODE = -1;
     private static final long NO_DEADLINE_HEADER = 0;
+    private static final long MICROS_PER_MILLI = 1_000;
 
     private final Http3AttemptTransport transport;
     private final Http3Upstream upstream;
@@ -138,7 +139,7 @@
         }
         stream = opened;
         opened.closeFuture().addListener(closed -> fail(How.CONNECTION_LOST, NO_CODE));
-        Http3Headers headers = Http3HeaderFields.request(request, Addresses.text(upstream.endpoint()), waitMillis);
+        Http3Headers headers = Http3HeaderFields.request(request, Addresses.text(upstream.endpoint()), toldMillis());
         FinalFrame finalFrame = new FinalFrame();
         opened.pipeline().addFirst(finalFrame);
         finalFrame.last();
@@ -156,6 +157,11 @@
         opened.flush();
     }
 
+    private long toldMillis() {
+        long leftMillis = listener.responseTimeLeftMicros() / MICROS_PER_MILLI; // less than when it was chosen
+        return waitMillis == NO_DEADLINE_HEADER ? NO_DEADLINE_HEADER : Math.max(1, Math.min(waitMillis, leftMillis));
+    }
+
     /**
      * Stops waiting without notifying the listener; the upstream is asked to stop as well (RFC 9114, section
      * 4.1.1).
--- a/src/test/java/loadbalancer/deployed/LateConnectionsTest.java
+++ b/src/test/java/loadbalancer/deployed/LateConnectionsTest.java
@@ -119,6 +119,18 @@
         assertTrue(answers.get(0).matches("upload (200|502|503)"), answers.toString());
     }
 
+    /** The failure guarded against: an upstream was told the time that was left when it was chosen, a second before. */
+    @ParameterizedTest
+    @CsvSource({"1500, 2", "2500, 2", "2000, 60000"})
+    void anUpstreamIsToldTheTimeThatIsLeftWhenTheRequestIsSent(int timeMillis, int bodyBytes) throws Exception {
+        RawUpstream late = sendOverLateConnection("pay", "told", timeMillis, bodyBytes);
+        long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(late.runTimes("told").get(0) - sentAtNanos);
+        long slackMillis = 150; // that the operators allow
+        assertTrue(
+                toldMillis.get(0) <= timeMillis - elapsedMillis + slackMillis,
+                "told " + toldMillis + " after " + elapsedMillis + " ms");
+    }
+
     @ParameterizedTest
     @CsvSource({"200, 0", "300, 2", "500, 2", "500, 60000", "700, 2"})
     void aKeyedRequestIsNotSentAgainBehindItsWindow(int windowMillis, int bodyBytes) throws Exception {
