Do not send an attempt whose body another attempt has taken meanwhile

A keyed upload over 64 KiB whose first attempt waits for its connection is hedged; the attempt that is sent first takes the body stream.

Whether the body is still there was asked at the choice only; it is asked again before the first byte, and the attempt ends as not sent.

--- a/src/main/java/loadbalancer/upstream/http1/Http1Attempt.java
+++ b/src/main/java/loadbalancer/upstream/http1/Http1Attempt.java
@@ -78,6 +78,11 @@
         return request.remainingBody() != null;
     }
 
+    /** Whether another attempt of its request, sent meanwhile, has taken the body. */
+    boolean isBodyTaken() {
+        return hasStreamedBody() && request.remainingBody().hasSubscriber();
+    }
+
     /** It waits for this connection, or is being sent on it. */
     void assignTo(Http1UpstreamConnection carrier) {
         connection = carrier;
--- a/src/main/java/loadbalancer/upstream/http1/Http1UpstreamConnection.java
+++ b/src/main/java/loadbalancer/upstream/http1/Http1UpstreamConnection.java
@@ -158,6 +158,11 @@
             becomeIdle(); // its attempt was cancelled meanwhile: the handshake has been paid for
             return;
         }
+        if (attempt.isBodyTaken()) {
+            endAttempt(Outcome.NOT_SENT);
+            becomeIdle();
+            return;
+        }
         SendPermit sendPermit = decide();
         if (!channel.isActive()) {
             return;
--- a/src/test/java/loadbalancer/deployed/LateConnectionsTest.java
+++ b/src/test/java/loadbalancer/deployed/LateConnectionsTest.java
@@ -131,6 +131,40 @@
                 "told " + toldMillis + " after " + elapsedMillis + " ms");
     }
 
+    /** The failure guarded against: the second attempt of a long upload was sent without its body, and hung. */
+    @ParameterizedTest
+    @CsvSource({"70000", "100000"})
+    void aLongUploadThatIsHedgedIsSentOnce(int bodyBytes) throws Exception {
+        keyedObjectiveMillis = 1_500;
+        keyedDeadlineMillis = 2_500;
+        keyTtlMillis = 2_000;
+        connectMillis = 1_500;
+        RawUpstream prompt = open(new RawUpstream(LateConnectionsTest::handle));
+        discovery.set("s0", prompt.target("s0", CELL, "in_service"));
+        start();
+        for (int i = 0; i < WARM_UP_REQUESTS; i++) {
+            send("warm" + i, 2);
+        }
+        RawUpstream late = open(RawUpstream.late(LateConnectionsTest::handle));
+        discovery.set("late", late.target("late", CELL, "in_service"));
+        TimeUnit.MILLISECONDS.sleep(300);
+        List<Thread> clients = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            String id = "long" + i;
+            clients.add(start(() -> send(id, bodyBytes)));
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+        TimeUnit.MILLISECONDS.sleep(900);
+        late.acceptLate();
+        for (Thread client : clients) {
+            client.join();
+        }
+        assertTrue(balancer.log().stream().noneMatch(line -> line.contains("already has a subscriber")));
+        for (int i = 0; i < CLIENTS; i++) {
+            assertTrue(prompt.runs("long" + i) + late.runs("long" + i) <= 1, answers.toString());
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({"200, 0", "300, 2", "500, 2", "500, 60000", "700, 2"})
     void aKeyedRequestIsNotSentAgainBehindItsWindow(int windowMillis, int bodyBytes) throws Exception {
