Answer requests that are read but not decoded when a shutdown answers one before them

Cause: a process that keeps no connections open asked its queue of decoded requests whether a connection is still owed something. A response within the decoding of the first request found it empty, as the others were bytes in the decoder, and ended the connection.

requestsBehindOneThatIsAnsweredAtOnceAreAnsweredAtAShutdown failed 7 of 7 before and passes 7 of 7; PipeliningCrowdTest, ShutdownInACrowdTest and Http3ShutdownTest pass.

--- a/src/main/java/loadbalancer/downstream/http1/Http1ClientConnection.java
+++ b/src/main/java/loadbalancer/downstream/http1/Http1ClientConnection.java
@@ -44,7 +44,6 @@
     private RequestFraming.Problem inputClosedReason;
     private Runnable clientClosedCallback; // runs if the client disconnects; null while no response is pending
     private long maxDrainedBytes = DEFAULT_MAX_DRAINED_BYTES; // after the last response
-    private boolean partialRefused; // its client is told so while it sends
     private boolean rejectingPipelined; // for want of memory, until no request is pipelined any more
     private String closeReason = "peer";
 
@@ -65,14 +64,14 @@
 
     /** Whether a request has been received in part, refused or not, and no other request is being served. */
     boolean hasPartialRequest() {
-        return partialRefused || (receiveProgress.isReceiving() && serveState == ServeState.IDLE);
+        return receiveProgress.isRefused() || (receiveProgress.isReceiving() && serveState == ServeState.IDLE);
     }
 
     /** Refuses a request that has been received in part, unless its rest has been read and waits to be decoded. */
     void refusePartialRequest() {
         input.readNow();
-        if (hasPartialRequest() && !partialRefused && input.isReceiving()) {
-            partialRefused = true;
+        if (hasPartialRequest() && !receiveProgress.isRefused() && input.isReceiving()) {
+            receiveProgress.refused();
             onMalformed(HttpResponseStatus.SERVICE_UNAVAILABLE, "shutting down");
         }
     }
@@ -124,8 +123,7 @@
             onMalformed(delay.status(), delay.text());
         }
         if (input.isStreaming() || output.hasUnsentResponse()) {
-            long progress = input.streamedBytes() + output.progress();
-            if (timeouts.isStalled(progress, input.isStreamPaused(), nowNanos)) {
+            if (timeouts.isStalled(input.streamedBytes() + output.progress(), input.isStreamPaused(), nowNanos)) {
                 output.abortStalled();
             }
         }
@@ -174,8 +172,7 @@
         }
     }
 
-    // A pipelined request that can't be held is rejected in its turn. Reading goes on: with reading off, a close by the
-    // client would not be noticed, and its requests would be forwarded.
+    // A request that can't be held is rejected in its turn. With reading off, its client's close would not be noticed.
     @Override
     public Admission admit(long headBytes) {
         if (serveState == ServeState.IDLE && queue.isEmpty()) {
@@ -330,7 +327,10 @@
 
     // A process that keeps no connections open still answers the requests that it has read.
     private boolean mayStayOpen(boolean keepAlive) {
-        return keepAlive && (listener.keepsConnections() || hasPipelinedRequest()) && !input.isStreaming();
+        boolean staysOpen = listener.keepsConnections()
+                || hasPipelinedRequest()
+                || (input.hasBufferedRequest() && queue.admitUndecoded());
+        return keepAlive && staysOpen && !input.isStreaming();
     }
 
     /** Called before the last response is written, so that input which was read after its request is not decoded. */
--- a/src/main/java/loadbalancer/downstream/http1/ReceiveProgress.java
+++ b/src/main/java/loadbalancer/downstream/http1/ReceiveProgress.java
@@ -6,6 +6,7 @@
 final class ReceiveProgress {
     private ReceiveState state = ReceiveState.IDLE;
     private ReceiveState stateOfNextBytes = ReceiveState.HEAD;
+    private boolean refused;
 
     ReceiveState state() {
         return state;
@@ -16,6 +17,15 @@
         return state != ReceiveState.IDLE;
     }
 
+    /** Called when a request that has been received in part is refused while its client sends. */
+    void refused() {
+        refused = true;
+    }
+
+    boolean isRefused() {
+        return refused;
+    }
+
     /** Called for the first bytes of a request, and for bytes after a malformed request. */
     void receiveStarted() {
         state = stateOfNextBytes;
--- a/src/main/java/loadbalancer/downstream/http1/RequestQueue.java
+++ b/src/main/java/loadbalancer/downstream/http1/RequestQueue.java
@@ -16,6 +16,7 @@
     private int rejectedCount; // among the pipelined requests
     private int pipelinedBytes; // of their heads and bodies
     private int servedBytes;
+    private int undecodedAdmitted; // requests
     private BodyStream servedBody; // the streamed body of the request that is being served, or null
 
     /** Whether no request is pipelined. */
@@ -28,6 +29,14 @@
         return pipelined.size() - rejectedCount >= MAX_PIPELINED || rejectedCount >= MAX_REJECTED;
     }
 
+    /**
+     * Admits a request that has been read but not decoded, although its connection ends. No more than a client may
+     * pipeline are admitted, so that one that sends for ever does not keep its connection.
+     */
+    boolean admitUndecoded() {
+        return undecodedAdmitted++ < MAX_PIPELINED;
+    }
+
     /** The bytes of heap that the heads and bodies of all requests take. */
     int heldBytes() {
         return pipelinedBytes + servedBytes;
--- a/src/test/java/loadbalancer/server/PipeliningCrowdTest.java
+++ b/src/test/java/loadbalancer/server/PipeliningCrowdTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -247,6 +248,67 @@
         }
     }
 
+    /**
+     * The failure guarded against: a response that was given while the requests behind it were still being decoded ended
+     * the connection, and those got none.
+     */
+    @ParameterizedTest
+    @CsvSource({"1, 0", "2, 0", "7, 0", "15, 0", "1, 20", "7, 20", "15, 60"})
+    void requestsBehindOneThatIsAnsweredAtOnceAreAnsweredAtAShutdown(int requests, int bytesLater) throws Exception {
+        start();
+        Thread stopping = new Thread(() -> node.stop());
+        stopping.start();
+        TimeUnit.MILLISECONDS.sleep(100);
+        StringBuilder batch = new StringBuilder("GET /-/ready HTTP/1.1\r\nHost: b\r\n\r\n");
+        for (int i = 0; i < requests; i++) {
+            batch.append(request("p-" + i, ""));
+        }
+        String sent = batch.toString();
+        try (Client client = new Client(at).send(sent.substring(0, sent.length() - bytesLater))) {
+            assertEquals(503, client.status());
+            for (int i = 0; i < requests; i++) {
+                if (i == requests - 1) {
+                    client.send(sent.substring(sent.length() - bytesLater));
+                }
+                assertTrue(client.answerAfter(upstream).startsWith("HTTP/1.1 200"), "request " + i);
+            }
+            assertNull(client.answer());
+        }
+        stopping.join(TimeUnit.SECONDS.toMillis(20));
+    }
+
+    /** A client that sends for ever more requests that are answered at once does not keep the process. */
+    @Test
+    @Timeout(20)
+    void aClientThatPipelinesForEverDoesNotKeepTheProcess() throws Exception {
+        start();
+        try (Client client = new Client(at)) {
+            Thread sending = new Thread(() -> {
+                try {
+                    while (true) {
+                        client.send("GET /-/ready HTTP/1.1\r\nHost: b\r\n\r\n".repeat(1_000));
+                    }
+                } catch (IOException e) {
+                    Thread.currentThread().interrupt(); // the connection has ended
+                }
+            });
+            Thread reading = new Thread(() -> {
+                try {
+                    client.in.transferTo(java.io.OutputStream.nullOutputStream());
+                } catch (IOException e) {
+                    Thread.currentThread().interrupt(); // the connection has ended
+                }
+            });
+            sending.start();
+            reading.start();
+            TimeUnit.MILLISECONDS.sleep(300);
+            Thread stopping = new Thread(() -> node.stop());
+            stopping.start();
+            stopping.join(TimeUnit.SECONDS.toMillis(10));
+            assertTrue(!stopping.isAlive(), "the process does not end");
+        }
+    }
+
     /** The failure guarded against: the end of the connection lay behind more than was read, and was not noticed. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
