--- a/src/main/java/loadbalancer/lifecycle/ShutdownDrain.java
+++ b/src/main/java/loadbalancer/lifecycle/ShutdownDrain.java
@@ -72,7 +72,7 @@
     private static final long EXIT_NANOS = 100_000_000;
     /** The number of phases that share the rest of the longest deadline. */
     private static final int WAITING_PHASES = 2;
-    /** Number of observations in a phase after which the time for forwarding may end it: all that came has been read. */
+    /** Number of observations in a phase after which the time for forwarding may end it: what came has been read. */
     private static final int MIN_OBSERVATIONS = 2;
     /** How long refused clients may take to read their responses before the process ends. */
     private static final long MAX_REFUSED_NANOS = 100_000_000;
--- a/src/main/java/loadbalancer/proxy/AttemptTransport.java
+++ b/src/main/java/loadbalancer/proxy/AttemptTransport.java
@@ -20,9 +20,9 @@
         void ended(Policy.Outcome outcome, UpstreamResponse response, Policy.Load load);
 
         /**
-         * Checks whether the client still waits for this attempt, and whether rule 2 still allows it. To be called right before the attempt's first
-         * byte and, if the last byte follows much later, before the last byte. Reads the client's connection, so
-         * it must not be called from within a read of any connection.
+         * Checks whether the client still waits for this attempt, and whether rule 2 still allows it. To be called
+         * right before the attempt's first byte and, if the last byte follows much later, before the last byte. Reads
+         * the client's connection, so it must not be called from within a read of any connection.
          *
          * @return the time until which the attempt may be sent, in µs of the balancer's clock; {@link
          *     SendGuard#NOT_AWAITED} if it may not be sent at all: no client waits, and the attempt has then been
--- a/src/main/java/loadbalancer/proxy/BodyStream.java
+++ b/src/main/java/loadbalancer/proxy/BodyStream.java
@@ -28,8 +28,8 @@
 
     /**
      * Returns for how long the bytes that are received next may have been waiting since reading was paused, in µs; 0 if
-     * it was not. Of a body that has been received completely, returns the time since its last byte, also while it waits
-     * for a subscriber. The sender counts its time from when it sent that byte.
+     * it was not. Of a body that has been received completely, returns the time since its last byte, also while it
+     * waits for a subscriber. The sender counts its time from when it sent that byte.
      */
     default long maxUnreadMicros() {
         return 0;
--- a/src/main/java/loadbalancer/proxy/PendingRequest.java
+++ b/src/main/java/loadbalancer/proxy/PendingRequest.java
@@ -160,7 +160,7 @@
         return requestClass.effect();
     }
 
-    /** Returns the time from which {@code attempt}, to {@code server}, may not be sent any more: {@link RepeatGuard}. */
+    /** Returns the time from which {@code attempt}, to {@code server}, may not be sent: see {@link RepeatGuard}. */
     long sendDeadlineMicros(ProxyAttempt attempt, Policy.Server server) {
         return RepeatGuard.sendDeadlineMicros(requestClass, attempts, attempt, server);
     }
--- a/src/main/java/loadbalancer/proxy/RepeatGuard.java
+++ b/src/main/java/loadbalancer/proxy/RepeatGuard.java
@@ -5,10 +5,10 @@
 
 /**
  * Decides until when an attempt of a request with an idempotency key may be sent (rule 2). Servers drop a repeat only
- * within the group of the server to which the request was sent first, and only for some time from then on. Which attempt
- * is the repeat depends on the order in which attempts are sent, not on that in which they were chosen: the connection
- * of an attempt may be established after a later attempt was sent, and the request may have run meanwhile. Does no I/O
- * and reads no clock; times are in µs.
+ * within the group of the server to which the request was sent first, and only for some time from then on. Which
+ * attempt is the repeat depends on the order in which attempts are sent, not on that in which they were chosen: the
+ * connection of an attempt may be established after a later attempt was sent, and the request may have run meanwhile.
+ * Does no I/O and reads no clock; times are in µs.
  */
 final class RepeatGuard {
     /** The result for an attempt that servers would not drop as a repeat. */
--- a/src/test/java/loadbalancer/deployed/RawUpstream.java
+++ b/src/test/java/loadbalancer/deployed/RawUpstream.java
@@ -79,8 +79,8 @@
     }
 
     /**
-     * Listens with a full queue of connections until {@link #acceptLate}: those that are made meanwhile come up when the
-     * client's system tries again, after about a second (Linux).
+     * Listens with a full queue of connections until {@link #acceptLate}: those that are made meanwhile come up when
+     * the client's system tries again, after about a second (Linux).
      */
     static RawUpstream late(Handler handler) throws IOException {
         return new RawUpstream(handler, new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
--- a/src/test/java/loadbalancer/server/PipeliningCrowdTest.java
+++ b/src/test/java/loadbalancer/server/PipeliningCrowdTest.java
@@ -249,8 +249,8 @@
     }
 
     /**
-     * The failure guarded against: a response that was given while the requests behind it were still being decoded ended
-     * the connection, and those got none.
+     * The failure guarded against: a response that was given while the requests behind it were being decoded ended the
+     * connection, and those got none.
      */
     @ParameterizedTest
     @CsvSource({"1, 0", "2, 0", "7, 0", "15, 0", "1, 20", "7, 20", "15, 60"})
