Count and log an attempt as sent once every condition of its sending holds

Cause: TransportListener.awaitedUntilMicros, which asks about the client and the repeat window, marked and logged; SendGuard.decide, which asks about the drain, the address and the start limit, comes behind it. The check only checks now. The transports say sending() once the permit is granted, in the same turn of the loop, so that two attempts cannot both be decided before one is marked.

DispatcherTest.anAttemptThatTheTransportRefusesDoesNotCountAsSent fails on (its log has attempt_sent) and passes. RepeatOverLateConnectionsTest calls sending() as the transports do.

--- a/src/main/java/loadbalancer/proxy/AttemptExecutor.java
+++ b/src/main/java/loadbalancer/proxy/AttemptExecutor.java
@@ -211,19 +211,23 @@
                 invariants.violated(Invariants.Violation.SECOND_RUN, pending.clientId());
                 return SendGuard.NOT_AWAITED;
             }
-            Policy.Server endpoint = endpoint();
-            long repeatUntilMicros = pending.sendDeadlineMicros(attempt, endpoint);
+            long repeatUntilMicros = pending.sendDeadlineMicros(attempt, endpoint());
             if (readAtMicros >= repeatUntilMicros) {
                 requestLog.attempt(
                         RequestLog.Event.ATTEMPT_REFUSED, pending.clientId(), attempt.number(), "repeat_not_dropped");
                 return SendGuard.NOT_AWAITED;
             }
-            attempt.markSent(endpoint, readAtMicros);
+            return Math.min(SendGuard.awaitedUntilMicros(readAtMicros), repeatUntilMicros);
+        }
+
+        @Override
+        public void sending() {
+            long now = clock.now();
+            attempt.markSent(endpoint(), now);
             if (pending.effect() != Policy.Effect.SAFE) {
-                recentIds.add(pending.clientId(), readAtMicros);
+                recentIds.add(pending.clientId(), now);
             }
             logWithElapsedTime(RequestLog.Event.ATTEMPT_SENT);
-            return Math.min(SendGuard.awaitedUntilMicros(readAtMicros), repeatUntilMicros);
         }
 
         // The time-out of an upload begins with its last byte.
--- a/src/main/java/loadbalancer/proxy/AttemptTransport.java
+++ b/src/main/java/loadbalancer/proxy/AttemptTransport.java
@@ -32,6 +32,12 @@
             return Long.MAX_VALUE;
         }
 
+        /**
+         * The first byte, or the last one of a streamed body, is written next: the attempt may have run from here on.
+         * To be called in the same turn of the event loop as {@link #awaitedUntilMicros}, once all conditions hold.
+         */
+        default void sending() {}
+
         /** Returns how long the balancer still waits for the response, in µs; the upstream is told no longer time. */
         default long responseTimeLeftMicros() {
             return Long.MAX_VALUE;
--- a/src/main/java/loadbalancer/upstream/http1/Http1UpstreamConnection.java
+++ b/src/main/java/loadbalancer/upstream/http1/Http1UpstreamConnection.java
@@ -168,6 +168,7 @@
             return;
         }
         if (attempt != null && sendPermit.granted()) {
+            attempt.listener().sending();
             write(attempt, sendPermit);
         } else {
             endAttempt(sendPermit.refusal());
--- a/src/main/java/loadbalancer/upstream/http1/StreamedRequestBody.java
+++ b/src/main/java/loadbalancer/upstream/http1/StreamedRequestBody.java
@@ -51,6 +51,7 @@
             connection.abortUpload(attempt);
             return;
         }
+        attempt.listener().sending();
         if (lastPiece != null) {
             writer.write(lastPiece);
         }
--- a/src/main/java/loadbalancer/upstream/http3/Http3Attempt.java
+++ b/src/main/java/loadbalancer/upstream/http3/Http3Attempt.java
@@ -117,13 +117,17 @@
     /** Decides right before the first byte; its client may turn out to be disconnected, and then it has ended. */
     SendPermit decide(long stopAtMicros) {
         long awaitedUntilMicros = ended ? SendGuard.NOT_AWAITED : listener.awaitedUntilMicros();
-        return SendGuard.decide(
+        SendPermit permit = SendGuard.decide(
                 transport.clock.now(),
                 awaitedUntilMicros,
                 startBeforeMicros,
                 stopAtMicros,
                 false,
                 transport.updates.unreadDrainDeadlineMicros());
+        if (!ended && permit.granted()) {
+            listener.sending();
+        }
+        return permit;
     }
 
     /** Sends the request on its stream, unless the permit has expired since it was granted. */
--- a/src/test/java/loadbalancer/proxy/DispatcherTest.java
+++ b/src/test/java/loadbalancer/proxy/DispatcherTest.java
@@ -94,6 +94,17 @@
         assertTrue(until > now && until < now + SendGuard.CLOSE_GRACE_MICROS);
     }
 
+    /** The failure guarded against: an attempt that a drain refuses was logged as sent, before the drain was asked. */
+    @Test
+    void anAttemptThatTheTransportRefusesDoesNotCountAsSent() {
+        dispatcher.setRequestLog(RequestLog.of(Map.of(RequestLog.VARIABLE, "on"), log::add));
+        dispatch();
+        FakeTransport.StartedAttempt attempt = transport.started.get(0);
+        assertTrue(attempt.listener.awaitedUntilMicros() > scheduler.now());
+        attempt.listener.ended(Outcome.CONNECT_FAILED, null, null);
+        assertTrue(log.stream().noneMatch(line -> line.contains("event=attempt_sent ")), log.toString());
+    }
+
     @Test
     void anUnsafeRequestGetsNoSecondAttemptWhileTheFirstMayRun() {
         Dispatcher unsafe = new Dispatcher(scheduler, scheduler, TestSettings.boot("unsafe"), policy, log::add);
--- a/src/test/java/loadbalancer/proxy/RepeatOverLateConnectionsTest.java
+++ b/src/test/java/loadbalancer/proxy/RepeatOverLateConnectionsTest.java
@@ -126,6 +126,7 @@
                 attempt.listener.ended(Outcome.NOT_SENT, null, null);
                 return;
             }
+            attempt.listener.sending();
             groups.receive(servers.get(server), time.now() + random.nextLong(untilMicros - time.now()));
             if (random.nextInt(8) == 0) { // its response is lost
                 attempt.listener.ended(Outcome.RESET, null, null);
@@ -157,7 +158,12 @@
     }
 
     private static boolean isAllowed(Play play, int attempt) {
-        return play.transport.started.get(attempt).listener.awaitedUntilMicros() > play.time.now();
+        AttemptTransport.Listener listener = play.transport.started.get(attempt).listener;
+        boolean allowed = listener.awaitedUntilMicros() > play.time.now();
+        if (allowed) {
+            listener.sending();
+        }
+        return allowed;
     }
 
     /** The window is not shortened either: a repeat within it is what hedging is for. */
