Do not send the last byte of an upload whose time is over

Cause: the time of an upload is asked when its first byte is sent. The body then passes through the loop in turns, and its last byte was sent whatever the time, as only the client and the repeat window were asked again; the timer of the deadline came in a turn behind it. Evidence: attempt_sent at 1,016 ms, again for the last byte 11 ms later, attempt_given_up behind that.

The check before the first and the last byte asks for the time that is left, and the permit ends with it, so that a process that is stopped in between does not send either. Such an attempt ends as not sent.

--- a/src/main/java/loadbalancer/proxy/AttemptExecutor.java
+++ b/src/main/java/loadbalancer/proxy/AttemptExecutor.java
@@ -217,7 +217,15 @@
                         RequestLog.Event.ATTEMPT_REFUSED, pending.clientId(), attempt.number(), "repeat_not_dropped");
                 return SendGuard.NOT_AWAITED;
             }
-            return Math.min(SendGuard.awaitedUntilMicros(readAtMicros), repeatUntilMicros);
+            long timeLeftMicros = deadlines.attemptTimeLeftMicros(pending, readAtMicros);
+            if (timeLeftMicros <= 0) { // an upload may have taken up its time since its first byte was sent
+                requestLog.attempt(
+                        RequestLog.Event.ATTEMPT_REFUSED, pending.clientId(), attempt.number(), "deadline");
+                return SendGuard.NOT_AWAITED;
+            }
+            return Math.min(
+                    SendGuard.awaitedUntilMicros(readAtMicros),
+                    Math.min(repeatUntilMicros, readAtMicros + timeLeftMicros));
         }
 
         @Override
--- a/src/test/java/loadbalancer/proxy/DispatcherUploadTest.java
+++ b/src/test/java/loadbalancer/proxy/DispatcherUploadTest.java
@@ -12,6 +12,12 @@
     /** A streamed body that the test completes through the subscriber. */
     private static final class FakeBodyStream implements BodyStream {
         private Subscriber subscriber;
+        private long unreadMicros;
+
+        @Override
+        public long maxUnreadMicros() {
+            return unreadMicros;
+        }
 
         @Override
         public boolean hasSubscriber() {
@@ -63,6 +69,25 @@
         assertEquals(List.of("failed"), uploader.responses);
     }
 
+    /**
+     * The failure guarded against: an upload that was written at once and read late was sent to its last byte, and run,
+     * behind its time.
+     */
+    @Test
+    void theLastByteOfAnUploadIsNotSentBehindItsTime() {
+        FakeBodyStream body = new FakeBodyStream();
+        dispatcher.dispatch(upload(body), new RecordingResponseWriter());
+        AttemptTransport.Listener attempt = transport.started.get(0).listener;
+        transport.requests.get(0).remainingBody().subscribe(new DiscardingSubscriber());
+        body.unreadMicros = 350_000; // of 400 ms
+        body.subscriber.onComplete();
+        long now = scheduler.now();
+        long untilMicros = attempt.awaitedUntilMicros();
+        assertTrue(now < untilMicros && untilMicros < now + 50_000, "within its time: " + (untilMicros - now));
+        scheduler.advance(45_000); // the attempt itself times out after 50 ms
+        assertEquals(SendGuard.NOT_AWAITED, attempt.awaitedUntilMicros());
+    }
+
     /**
      * The policy never responds, and the last byte is never received: if the deadline's timer started with the last
      * byte only, the client would get no response.
