End attempts when they cannot be sent any more, not when their connection comes up

A short body whose upstream had accepted its first bytes within the window was written on behind it.

Cause: the time from which an attempt may not be sent is known once another attempt is sent (RepeatGuard), but it was asked only right before the first byte.

AttemptExecutor keeps a timer for that time, which it updates when an attempt starts, is sent or proves not to have run, and when the endpoint list changes. The timer withdraws what has not been written to its last byte; this includes attempts whose start limit is over, whose server has left the group, or whose streamed body another attempt has taken. A connection that is being established stays, and carries later requests. The check before the first byte is unchanged.

--- a/src/main/java/loadbalancer/proxy/AttemptExecutor.java
+++ b/src/main/java/loadbalancer/proxy/AttemptExecutor.java
@@ -95,12 +95,56 @@
         if (!pending.isReceivingBody()) {
             deadlines.arm(attempt);
         }
+        Policy.Server listed = endpoints.apply(server);
+        attempt.choose(
+                listed == null ? unknown(server) : listed,
+                startWithinMicros < Long.MAX_VALUE ? startDeadlineMicros : RepeatGuard.NO_LIMIT);
         attempt.start(transport.send(
-                server,
-                pending.request(),
-                responseTimeoutMicros,
-                startDeadlineMicros,
-                new TransportListener(attempt, server)));
+                server, pending.request(), responseTimeoutMicros, startDeadlineMicros, new TransportListener(attempt)));
+        updateSendDeadlines(pending);
+    }
+
+    /**
+     * Updates the timers that withdraw the attempts of a request when they cannot be sent any more. To be called when
+     * an attempt has started, is sent or has proved not to have run, and when the endpoint list has changed.
+     */
+    void updateSendDeadlines(PendingRequest pending) {
+        for (ProxyAttempt attempt : pending.attempts()) {
+            if (!attempt.hasEnded()) {
+                deadlines.armSendDeadline(attempt, sendDeadlineMicros(attempt));
+            }
+        }
+    }
+
+    /**
+     * Withdraws an attempt that cannot be sent any more, although its connection is not established, or the upstream
+     * has not accepted all of it. A connection that is being established is kept for later requests.
+     */
+    void withdrawUnsendable(ProxyAttempt attempt) {
+        if (attempt.hasEnded()) {
+            return;
+        }
+        if (clock.now() < sendDeadlineMicros(attempt)) { // the timer was early
+            updateSendDeadlines(attempt.pending());
+        } else if (attempt.withdraw()) {
+            requestLog.attempt(
+                    RequestLog.Event.ATTEMPT_WITHDRAWN,
+                    attempt.pending().clientId(),
+                    attempt.number(),
+                    "send_deadline");
+            end(attempt, Policy.Outcome.NOT_SENT, null, null);
+        }
+    }
+
+    private long sendDeadlineMicros(ProxyAttempt attempt) {
+        long repeatDeadlineMicros = attempt.pending().sendDeadlineMicros(attempt, endpointOf(attempt));
+        return attempt.isSent() ? repeatDeadlineMicros : Math.min(repeatDeadlineMicros, attempt.startDeadlineMicros());
+    }
+
+    // An upstream that has left the list keeps its group for the grace of its drain.
+    private Policy.Server endpointOf(ProxyAttempt attempt) {
+        Policy.Server listed = endpoints.apply(attempt.chosenServer().id());
+        return listed == null ? attempt.chosenServer() : listed;
     }
 
     /**
@@ -170,6 +214,7 @@
         boolean continuesAsStream = response != null && response.remainingBody() != null;
         long latencyMicros = attempt.latencyMicros(clock.now(), continuesAsStream);
         requestLog.attempt(RequestLog.Event.ATTEMPT_ENDED, attempt.pending().clientId(), attempt.number(), outcome);
+        updateSendDeadlines(attempt.pending()); // one that never ran limits the others no longer
         listener.attemptEnded(attempt, outcome, response, load, latencyMicros);
     }
 
@@ -181,13 +226,9 @@
     private final class TransportListener implements AttemptTransport.Listener {
         private final ProxyAttempt attempt;
         private final PendingRequest pending;
-        private final String server;
-        private final Policy.Server endpointAtChoice; // null if unknown
 
-        TransportListener(ProxyAttempt attempt, String server) {
+        TransportListener(ProxyAttempt attempt) {
             this.attempt = attempt;
-            this.server = server;
-            this.endpointAtChoice = endpoints.apply(server);
             this.pending = attempt.pending();
         }
 
@@ -211,7 +252,7 @@
                 invariants.violated(Invariants.Violation.SECOND_RUN, pending.clientId());
                 return SendGuard.NOT_AWAITED;
             }
-            long repeatUntilMicros = pending.sendDeadlineMicros(attempt, endpoint());
+            long repeatUntilMicros = pending.sendDeadlineMicros(attempt, endpointOf(attempt));
             if (readAtMicros >= repeatUntilMicros) {
                 requestLog.attempt(
                         RequestLog.Event.ATTEMPT_REFUSED, pending.clientId(), attempt.number(), "repeat_not_dropped");
@@ -219,8 +260,7 @@
             }
             long timeLeftMicros = deadlines.attemptTimeLeftMicros(pending, readAtMicros);
             if (timeLeftMicros <= 0) { // an upload may have taken up its time since its first byte was sent
-                requestLog.attempt(
-                        RequestLog.Event.ATTEMPT_REFUSED, pending.clientId(), attempt.number(), "deadline");
+                requestLog.attempt(RequestLog.Event.ATTEMPT_REFUSED, pending.clientId(), attempt.number(), "deadline");
                 return SendGuard.NOT_AWAITED;
             }
             return Math.min(
@@ -231,7 +271,8 @@
         @Override
         public void sending() {
             long now = clock.now();
-            attempt.markSent(endpoint(), now);
+            attempt.markSent(endpointOf(attempt), now);
+            updateSendDeadlines(pending);
             if (pending.effect() != Policy.Effect.SAFE) {
                 recentIds.add(pending.clientId(), now);
             }
@@ -247,15 +288,6 @@
                     : attempt.startedAtMicros() + attempt.timeoutMicros() - now;
         }
 
-        // An upstream that has left the list keeps its group for the grace of its drain.
-        private Policy.Server endpoint() {
-            Policy.Server listed = endpoints.apply(server);
-            if (listed != null) {
-                return listed;
-            }
-            return endpointAtChoice == null ? unknown(server) : endpointAtChoice;
-        }
-
         @Override
         public void responseProgress() {
             if (attempt.recordResponseProgress(clock.now())) {
--- a/src/main/java/loadbalancer/proxy/Dispatcher.java
+++ b/src/main/java/loadbalancer/proxy/Dispatcher.java
@@ -191,6 +191,11 @@
             attempts.timeOut(attempt);
         }
 
+        @Override
+        public void sendDeadlineReached(ProxyAttempt attempt) {
+            attempts.withdrawUnsendable(attempt);
+        }
+
         @Override
         public void attemptEnded(
                 ProxyAttempt attempt,
@@ -240,6 +245,7 @@
         if (update != null) {
             requestLog.process(RequestLog.Event.LIST_RECEIVED, update.version());
             transport.updateEndpoints(update, now() - stallMonitor.maxUnreadMicros() - announcementAgeMicros);
+            requests.unfinished().forEach(attempts::updateSendDeadlines); // a server may have left its group
         }
         policyEvents.submitEndpointUpdate(
                 now -> policy.updateEndpoints(now, kind, update == null ? List.of() : update.servers(), this));
--- a/src/main/java/loadbalancer/proxy/PendingRequest.java
+++ b/src/main/java/loadbalancer/proxy/PendingRequest.java
@@ -160,8 +160,16 @@
         return requestClass.effect();
     }
 
-    /** Returns the time from which {@code attempt}, to {@code server}, may not be sent: see {@link RepeatGuard}. */
+    /**
+     * Returns the time from which {@code attempt}, to {@code server}, may not be sent: see {@link RepeatGuard}. An
+     * attempt whose streamed body another one has taken may not be sent at all.
+     */
     long sendDeadlineMicros(ProxyAttempt attempt, Policy.Server server) {
+        if (!attempt.isSent()
+                && request.remainingBody() != null
+                && request.remainingBody().hasSubscriber()) {
+            return RepeatGuard.NEVER;
+        }
         return RepeatGuard.sendDeadlineMicros(requestClass, attempts, attempt, server);
     }
 
--- a/src/main/java/loadbalancer/proxy/ProxyAttempt.java
+++ b/src/main/java/loadbalancer/proxy/ProxyAttempt.java
@@ -31,6 +31,10 @@
     private long beganAtMicros; // the response
     private long progressAtMicros = NO_RESPONSE; // of the response
     private Scheduler.Timer timeoutTimer;
+    private Policy.Server chosenServer;
+    private long startDeadlineMicros = RepeatGuard.NO_LIMIT;
+    private long sendDeadlineMicros = RepeatGuard.NO_LIMIT;
+    private Scheduler.Timer sendDeadlineTimer; // null without a deadline
     private Policy.Server sentTo; // null before its first byte
     private long sentAtMicros;
 
@@ -68,6 +72,9 @@
         if (timeoutTimer != null) {
             timeoutTimer.cancel();
         }
+        if (sendDeadlineTimer != null) {
+            sendDeadlineTimer.cancel();
+        }
         pending.attemptEnded();
     }
 
@@ -131,6 +138,26 @@
         return state == State.ENDED_NEVER_RAN;
     }
 
+    /** Returns the entry of the attempt's server in the endpoint list when the server was chosen. */
+    Policy.Server chosenServer() {
+        return chosenServer;
+    }
+
+    /**
+     * Sets the server and the time from which the attempt may not be started.
+     *
+     * @param newStartDeadlineMicros {@link RepeatGuard#NO_LIMIT} for none
+     */
+    void choose(Policy.Server server, long newStartDeadlineMicros) {
+        chosenServer = server;
+        startDeadlineMicros = newStartDeadlineMicros;
+    }
+
+    /** Returns the time from which the attempt may not be started. */
+    long startDeadlineMicros() {
+        return startDeadlineMicros;
+    }
+
     /** Whether the first byte may have been sent. */
     boolean isSent() {
         return sentTo != null;
@@ -191,4 +218,18 @@
     void setTimeoutTimer(Scheduler.Timer timer) {
         timeoutTimer = timer;
     }
+
+    /** Returns the time of the timer that withdraws the attempt; {@link RepeatGuard#NO_LIMIT} for none. */
+    long sendDeadlineMicros() {
+        return sendDeadlineMicros;
+    }
+
+    /** Replaces the timer that withdraws the attempt; {@code timer} is null for none. */
+    void setSendDeadline(long newSendDeadlineMicros, Scheduler.Timer timer) {
+        if (sendDeadlineTimer != null) {
+            sendDeadlineTimer.cancel();
+        }
+        sendDeadlineMicros = newSendDeadlineMicros;
+        sendDeadlineTimer = timer;
+    }
 }
--- a/src/main/java/loadbalancer/proxy/RequestDeadlines.java
+++ b/src/main/java/loadbalancer/proxy/RequestDeadlines.java
@@ -23,6 +23,9 @@
 
         /** The time-out of this attempt is over; the attempt may have ended before. */
         void attemptTimedOut(ProxyAttempt attempt);
+
+        /** From now on this attempt may not be sent; it may have been sent or have ended before. */
+        void sendDeadlineReached(ProxyAttempt attempt);
     }
 
     private final Scheduler scheduler;
@@ -116,6 +119,27 @@
         attempt.setTimeoutTimer(scheduler.schedule(attempt.timeoutMicros(), () -> listener.attemptTimedOut(attempt)));
     }
 
+    /**
+     * Starts or moves the timer of the time from which an attempt may not be sent.
+     *
+     * @param sendDeadlineMicros {@link RepeatGuard#NO_LIMIT} for none, {@link RepeatGuard#NEVER} for at once
+     */
+    void armSendDeadline(ProxyAttempt attempt, long sendDeadlineMicros) {
+        if (sendDeadlineMicros == attempt.sendDeadlineMicros()) {
+            return;
+        }
+        if (sendDeadlineMicros == RepeatGuard.NO_LIMIT) {
+            attempt.setSendDeadline(sendDeadlineMicros, null);
+            return;
+        }
+        long now = clock.now();
+        long delayMicros = sendDeadlineMicros <= now ? 0 : sendDeadlineMicros - now;
+        attempt.setSendDeadline(sendDeadlineMicros, scheduler.schedule(delayMicros, () -> {
+            attempt.setSendDeadline(RepeatGuard.NO_LIMIT, null);
+            listener.sendDeadlineReached(attempt);
+        }));
+    }
+
     /** Observes the streamed body of a request, if it has one, to set the timers that depend on its progress. */
     void trackUpload(StreamedUpload upload, PendingRequest pending) {
         if (upload == null) {
--- a/src/test/java/loadbalancer/proxy/DispatcherUploadTest.java
+++ b/src/test/java/loadbalancer/proxy/DispatcherUploadTest.java
@@ -78,6 +78,7 @@
         FakeBodyStream body = new FakeBodyStream();
         dispatcher.dispatch(upload(body), new RecordingResponseWriter());
         AttemptTransport.Listener attempt = transport.started.get(0).listener;
+        attempt.sending();
         transport.requests.get(0).remainingBody().subscribe(new DiscardingSubscriber());
         body.unreadMicros = 350_000; // of 400 ms
         body.subscriber.onComplete();
--- a/src/test/java/loadbalancer/proxy/RepeatOverLateConnectionsTest.java
+++ b/src/test/java/loadbalancer/proxy/RepeatOverLateConnectionsTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 import loadbalancer.policy.Policy;
 import loadbalancer.policy.Policy.ListKind;
 import loadbalancer.policy.Policy.Outcome;
@@ -108,25 +109,25 @@
             dispatcher.send("1", server, 0);
             if (transport.started.size() > before) {
                 FakeTransport.StartedAttempt attempt = transport.started.get(before);
+                attempt.connecting = true;
                 time.schedule(random.nextLong(MAX_DELAY_MICROS), () -> connected(attempt, server));
             }
         }
 
         // The connection is up, or has failed; the request is written until the time that it may take.
         private void connected(FakeTransport.StartedAttempt attempt, String server) {
-            if (attempt.stopped || time.now() >= attempt.startDeadlineMicros) {
+            if (attempt.stopped) {
                 return;
             }
+            assertTrue(time.now() < attempt.startDeadlineMicros, "the attempt has waited for too long");
             if (random.nextInt(8) == 0) {
                 attempt.listener.ended(Outcome.CONNECT_FAILED, null, null);
                 return;
             }
             long untilMicros = attempt.listener.awaitedUntilMicros();
-            if (untilMicros <= time.now()) {
-                attempt.listener.ended(Outcome.NOT_SENT, null, null);
-                return;
-            }
+            assertTrue(untilMicros > time.now(), "the attempt has waited although it may not be sent");
             attempt.listener.sending();
+            attempt.connecting = false;
             groups.receive(servers.get(server), time.now() + random.nextLong(untilMicros - time.now()));
             if (random.nextInt(8) == 0) { // its response is lost
                 attempt.listener.ended(Outcome.RESET, null, null);
@@ -153,6 +154,7 @@
         }
         for (int i = 0; i < 3; i++) {
             play.dispatcher.send("1", "s" + i, 0);
+            play.transport.started.get(i).connecting = true;
         }
         return play;
     }
@@ -162,6 +164,7 @@
         boolean allowed = listener.awaitedUntilMicros() > play.time.now();
         if (allowed) {
             listener.sending();
+            play.transport.started.get(attempt).connecting = false;
         }
         return allowed;
     }
@@ -179,6 +182,65 @@
                 SendGuard.NOT_AWAITED, play.transport.started.get(1).listener.awaitedUntilMicros());
     }
 
+    private static List<Integer> ended(Play play) {
+        return IntStream.range(0, play.transport.started.size())
+                .filter(i -> play.transport.started.get(i).stopped)
+                .boxed()
+                .toList();
+    }
+
+    /**
+     * The failure guarded against: attempts went on waiting for their connections when they could not be sent any more,
+     * and the client waited with them.
+     */
+    @Test
+    void attemptsThatWaitEndWithTheWindow() {
+        Play play = playOfThree(Policy.Scope.CELL);
+        assertTrue(isAllowed(play, 2));
+        play.time.advance(499_000);
+        assertEquals(List.of(), ended(play));
+        play.time.advance(1_000);
+        assertEquals(List.of(0, 1), ended(play));
+    }
+
+    /** The failure guarded against: the last bytes of a short body left when the servers had forgotten the key. */
+    @Test
+    void anAttemptThatIsSentInPartEndsWithTheWindow() {
+        Play play = playOfThree(Policy.Scope.CELL);
+        assertTrue(isAllowed(play, 0));
+        play.transport.started.get(0).connecting = true; // the upstream accepts no more bytes
+        play.time.advance(200_000);
+        assertTrue(isAllowed(play, 1));
+        play.time.advance(499_000);
+        assertEquals(List.of(2), ended(play), "the window of the first attempt is over");
+        play.time.advance(1_000);
+        assertEquals(List.of(0, 2), ended(play));
+    }
+
+    @Test
+    void attemptsWaitOnWhereTheOneThatWasSentNeverRan() {
+        Play play = playOfThree(Policy.Scope.CELL);
+        assertTrue(isAllowed(play, 2));
+        play.time.advance(100_000);
+        play.transport.started.get(2).listener.ended(Outcome.FULL, null, null);
+        play.time.advance(1_000_000);
+        assertEquals(List.of(), ended(play));
+        assertTrue(isAllowed(play, 0));
+        play.time.advance(500_000);
+        assertEquals(List.of(1), ended(play));
+    }
+
+    @Test
+    void anAttemptEndsWhenItsServerLeavesTheGroup() {
+        for (Policy.Scope scope : Policy.Scope.values()) {
+            Play play = playOfThree(scope);
+            assertTrue(isAllowed(play, 2));
+            play.move("s0", 2);
+            play.time.advance(0);
+            assertEquals(scope == Policy.Scope.ALL ? List.of() : List.of(0), ended(play), scope.toString());
+        }
+    }
+
     @Test
     void anAttemptThatNeverRanDoesNotBeginTheWindow() {
         Play play = playOfThree(Policy.Scope.CELL);
