Judge late connections where the upstream accepts them

LateConnectionsTest had the same weakness: a line of the request log that names the upstream counted as a late connection, and aLongUploadThatIsHedgedIsSentOnce passed when no upload arrived at all.

--- a/src/test/java/loadbalancer/deployed/RawUpstream.java
+++ b/src/test/java/loadbalancer/deployed/RawUpstream.java
@@ -9,11 +9,14 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A stand-in upstream: records which requests have come whole, and answers as its handler says. */
 final class RawUpstream implements AutoCloseable {
@@ -48,10 +51,15 @@
         exchange.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
     };
 
+    private static final int CONNECTION_SECONDS = 5;
+
     private final Map<String, List<Long>> runs = new ConcurrentHashMap<>(); // System.nanoTime() by request id
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private final ServerSocket server;
     private final List<Socket> fillers = new ArrayList<>(); // of the queue of connections
+    private final Set<Integer> fillerPorts = new HashSet<>();
+    private final List<Long> acceptTimes = new CopyOnWriteArrayList<>(); // System.nanoTime(), without the fillers
+    private final AtomicInteger usedConnections = new AtomicInteger();
     private final int receiveBufferBytes;
     private final Thread acceptor;
     private volatile Handler handler;
@@ -91,7 +99,9 @@
         receiveBufferBytes = 0;
         server = unaccepted;
         for (int i = 0; i < 2; i++) {
-            fillers.add(new Socket(server.getInetAddress(), server.getLocalPort()));
+            Socket filler = new Socket(server.getInetAddress(), server.getLocalPort());
+            fillers.add(filler);
+            fillerPorts.add(filler.getLocalPort());
         }
         acceptor = new Thread(() -> {});
     }
@@ -128,6 +138,9 @@
     private void accept() throws IOException {
         while (true) {
             Socket connection = server.accept();
+            if (!fillerPorts.contains(connection.getPort())) {
+                acceptTimes.add(System.nanoTime());
+            }
             connection.setTcpNoDelay(true);
             connections.add(connection);
             run(() -> serve(connection));
@@ -137,7 +150,12 @@
     private void serve(Socket connection) throws IOException, InterruptedException {
         try (connection) {
             InputStream in = new BufferedInputStream(connection.getInputStream(), bufferBytes());
+            boolean used = false;
             for (String head = RawClient.head(in); head != null; head = RawClient.head(in)) {
+                if (!used) {
+                    usedConnections.incrementAndGet();
+                }
+                used = true;
                 handler.handle(new Exchange(this, head, in, connection.getOutputStream()));
             }
         } finally {
@@ -153,6 +171,25 @@
         handler = newHandler;
     }
 
+    /** When each connection of a balancer was accepted, by System.nanoTime(). */
+    List<Long> acceptTimes() {
+        return acceptTimes;
+    }
+
+    /** Waits until that many connections of a balancer have been accepted; false where they have not come in time. */
+    boolean awaitConnections(int count) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(CONNECTION_SECONDS);
+        while (acceptTimes.size() < count && System.nanoTime() < until) {
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+        return acceptTimes.size() >= count;
+    }
+
+    /** How many connections have carried a request. */
+    int usedConnections() {
+        return usedConnections.get();
+    }
+
     /** When the request with that id has come whole, by System.nanoTime(). */
     List<Long> runTimes(String id) {
         return List.copyOf(runs.getOrDefault(id, List.of()));
