Retry a failed attempt while another one only waits for its connection

Callers saw: a keyed request was reset at one upstream while its hedged attempt waited for a late connection to another.

Cause: the policy retried when no attempt was in flight, and took one that waits for its connection for one that may still answer.

Nothing else is done: if no retry is allowed the request goes on waiting as before. The attempt that waits stays; whichever is sent later is a repeat, which the check before the first byte judges.

--- a/src/main/java/loadbalancer/policy/AttemptDispatcher.java
+++ b/src/main/java/loadbalancer/policy/AttemptDispatcher.java
@@ -1,6 +1,7 @@
 package loadbalancer.policy;
 
 import java.util.List;
+import java.util.function.Predicate;
 import loadbalancer.policy.Policy.Actions;
 
 /** Sends attempts: determines the candidates, samples one of them and records the attempt. */
@@ -26,15 +27,8 @@
 
     /** Sends an attempt if the request may run now and a server is available; returns whether an attempt was sent. */
     boolean dispatch(RequestState request, long nowMicros, Actions actions) {
-        if (!SequencedKeys.mayRun(request, nowMicros)) {
-            return false;
-        }
-        List<ServerState> candidates = subsetSelector.candidates(request, nowMicros);
-        if (candidates.isEmpty()) {
-            return false;
-        }
-        send(request, sampler.select(candidates, nowMicros, actions), nowMicros, actions);
-        return true;
+        return SequencedKeys.mayRun(request, nowMicros)
+                && sendUnless(request::isInFlightAt, request, nowMicros, actions);
     }
 
     /**
@@ -42,18 +36,23 @@
      * and charges the retry budget for the attempt.
      */
     void hedge(RequestState request, RetryBudget retryBudget, long nowMicros, Actions actions) {
-        List<ServerState> candidates = subsetSelector.candidates(request, nowMicros);
-        candidates.removeIf(request::wasSentTo);
-        if (!candidates.isEmpty()) {
+        if (sendUnless(request::wasSentTo, request, nowMicros, actions)) {
             retryBudget.consume();
-            send(request, sampler.select(candidates, nowMicros, actions), nowMicros, actions);
         }
     }
 
+    private boolean sendUnless(Predicate<ServerState> excluded, RequestState request, long nowMicros, Actions actions) {
+        List<ServerState> candidates = subsetSelector.candidates(request, nowMicros);
+        candidates.removeIf(excluded);
+        if (candidates.isEmpty()) {
+            return false;
+        }
+        send(request, sampler.select(candidates, nowMicros, actions), nowMicros, actions);
+        return true;
+    }
+
     private void send(RequestState request, ServerState server, long nowMicros, Actions actions) {
         boolean isRepeat = request.isKeyed() && request.firstThatMayHaveRun() != null;
-        long sendWithinMicros =
-                isRepeat ? request.deduplicationTimeLeftMicros(nowMicros, activeSettings.sweepIntervalMicros()) : 0;
         AttemptState attempt = new AttemptState(server, request, nowMicros);
         request.attempts.add(attempt);
         request.attemptsInFlight++;
@@ -63,6 +62,8 @@
         SlowStart.recordDispatch(server);
         long timeoutMicros = TimeoutPolicy.timeoutMicros(request, nowMicros);
         if (isRepeat) { // connecting may take longer than the time for which servers drop repeats
+            long sendWithinMicros =
+                    request.deduplicationTimeLeftMicros(nowMicros, activeSettings.sweepIntervalMicros());
             actions.send(request.id, server.endpoint.id(), timeoutMicros, sendWithinMicros);
         } else {
             actions.send(request.id, server.endpoint.id(), timeoutMicros);
--- a/src/main/java/loadbalancer/policy/HedgingPolicy.java
+++ b/src/main/java/loadbalancer/policy/HedgingPolicy.java
@@ -41,8 +41,11 @@
 
     /** Whether the request should get a second attempt now, provided that there is a server for it. */
     boolean isDue(RequestState request, boolean serversLackCapacity, long nowMicros) {
-        return mayBeHedged(request, serversLackCapacity, nowMicros)
-                && nowMicros - lastSentAtMicros(request) >= hedgingDelayMicros(request);
+        if (!mayBeHedged(request, serversLackCapacity, nowMicros)) {
+            return false;
+        }
+        AttemptState last = request.attempts.get(request.attempts.size() - 1);
+        return nowMicros - last.sentAtMicros >= hedgingDelayMicros(request);
     }
 
     private boolean mayBeHedged(RequestState request, boolean serversLackCapacity, long nowMicros) {
@@ -57,10 +60,6 @@
                 && retryBudget.allowsHedge();
     }
 
-    private static long lastSentAtMicros(RequestState request) {
-        return request.attempts.get(request.attempts.size() - 1).sentAtMicros;
-    }
-
     private static double hedgingDelayMicros(RequestState request) {
         double expectedMicros = request.classLatency.typicalMicros() * request.relativeWork;
         double spareMicros =
--- a/src/main/java/loadbalancer/policy/JsqDasPolicy.java
+++ b/src/main/java/loadbalancer/policy/JsqDasPolicy.java
@@ -85,12 +85,14 @@
         dispatcher = new AttemptDispatcher(activeSettings, subsetSelector, sampler, queueEstimator, ranking);
         outcomeRecorder = new OutcomeRecorder(outlierDetector, admission, decayScale, random);
         pendingQueue = new PendingQueue(activeSettings);
-        List<Integer> noFormerClasses = Collections.nCopies(settings.classes().size(), NO_FORMER_INDEX);
-        List<Integer> noFormerTenants = Collections.nCopies(settings.tenants().size(), NO_FORMER_INDEX);
-        apply(0, settings, noFormerClasses, noFormerTenants);
+        apply(0, settings, noFormer(settings.classes()), noFormer(settings.tenants()));
         admission.start();
     }
 
+    private static List<Integer> noFormer(List<?> entries) {
+        return Collections.nCopies(entries.size(), NO_FORMER_INDEX);
+    }
+
     @Override
     public void reload(
             long nowMicros,
@@ -147,7 +149,8 @@
         RequestClass requestClass = settings.classes().get(classIndex);
         ClassLatency classLatency = latencies.of(classIndex);
         long ageMicros = classLatency.submissionAgeMicros(requestClass.deadlineMicros(), timeLeftMicros, resubmission);
-        long objectiveAtMicros = nowMicros + objectiveMicros(requestClass, work) - ageMicros;
+        long stretchMicros = work > 0 ? (long) (requestClass.aimStretch() * work) : 0;
+        long objectiveAtMicros = nowMicros + requestClass.aimMicros() + stretchMicros - ageMicros;
         RequestState request = new RequestState(
                 requestId,
                 classLatency,
@@ -165,10 +168,6 @@
         admit(request, key != null, nowMicros, actions);
     }
 
-    private static long objectiveMicros(RequestClass requestClass, long work) {
-        return requestClass.aimMicros() + (work > 0 ? (long) (requestClass.aimStretch() * work) : 0);
-    }
-
     private void admit(RequestState request, boolean hasKey, long nowMicros, Actions actions) {
         if (admission.shouldReject(request)) {
             if (log.isDue(nowMicros)) {
@@ -180,10 +179,6 @@
         if (request.requestClass.inOrder() && hasKey) {
             sequencedKeys.add(request);
         }
-        dispatchOrEnqueue(request, nowMicros, actions);
-    }
-
-    private void dispatchOrEnqueue(RequestState request, long nowMicros, Actions actions) {
         if (!dispatcher.dispatch(request, nowMicros, actions) && !pendingQueue.offer(request, nowMicros)) {
             finish(request, actions);
         }
@@ -212,7 +207,7 @@
         outcomeRecorder.record(ended, outcome, latencyMicros, nowMicros, actions);
         if (closed) {
             close(request, actions);
-        } else if (!request.closed && request.attemptsInFlight == 0) {
+        } else if (!request.closed && (request.attemptsInFlight == 0 || actions.awaitsConnection(requestId))) {
             retryOrFinish(request, outcome, nowMicros, actions);
         }
         removeIfDone(request);
@@ -228,27 +223,30 @@
         }
         request.attemptsInFlight--;
         queueEstimator.attemptEnded(attempt.target);
-        long pauseMicros = activeSettings.settings().bounds().orderPauseMicros();
-        SequencedKeys.attemptEnded(request, attempt, outcome, nowMicros, pauseMicros);
+        SequencedKeys.attemptEnded(
+                request,
+                attempt,
+                outcome,
+                nowMicros,
+                activeSettings.settings().bounds().orderPauseMicros());
     }
 
+    // Attempts that are left wait for their connections, which may be established too late, or never.
     private void retryOrFinish(RequestState request, Outcome outcome, long nowMicros, Actions actions) {
-        if (!mayRetry(request, outcome, nowMicros)) {
-            finish(request, actions);
-            return;
-        }
-        if (!outcome.neverRan()) {
+        boolean mayRetry = mayRetry(request, outcome, nowMicros);
+        if (mayRetry && !outcome.neverRan()) {
             retryBudget.consume();
         }
-        dispatchOrEnqueue(request, nowMicros, actions);
+        boolean sent = mayRetry && dispatcher.dispatch(request, nowMicros, actions);
+        if (!sent && request.attemptsInFlight == 0 && !(mayRetry && pendingQueue.offer(request, nowMicros))) {
+            finish(request, actions);
+        }
     }
 
     // Whether the class, the time left and the retry budget allow another attempt after a failed one.
     private boolean mayRetry(RequestState request, Outcome outcome, long nowMicros) {
-        if (outcome == Outcome.NOT_SENT || !request.hasAttemptsLeft()) {
-            return false;
-        }
-        if (!outcome.neverRan() && (request.isUnsafe() || !retryBudget.allowsRetry())) {
+        boolean mayNotRunAgain = !outcome.neverRan() && (request.isUnsafe() || !retryBudget.allowsRetry());
+        if (outcome == Outcome.NOT_SENT || !request.hasAttemptsLeft() || mayNotRunAgain) {
             return false;
         }
         // Waiting gains nothing where the request may no longer be repeated.
@@ -257,8 +255,8 @@
                 && request.deduplicationTimeLeftMicros(nowMicros, activeSettings.sweepIntervalMicros()) <= 0) {
             return false;
         }
-        long retryUntilMicros = request.isSafe() ? request.deadlineAtMicros : request.objectiveAtMicros;
-        return nowMicros < retryUntilMicros - activeSettings.sweepIntervalMicros();
+        return nowMicros + activeSettings.sweepIntervalMicros()
+                < (request.isSafe() ? request.deadlineAtMicros : request.objectiveAtMicros);
     }
 
     @Override
--- a/src/main/java/loadbalancer/policy/Policy.java
+++ b/src/main/java/loadbalancer/policy/Policy.java
@@ -365,14 +365,16 @@
         /** Stops waiting for an attempt. */
         void cancel(String requestId, int attemptIndex);
 
-        /**
-         * Whether an attempt at that server would find an established connection and so need no handshake; true where
-         * that is unknown. A query without side effects.
-         */
+        /** Whether an attempt at that server would need no handshake; true where that is unknown. A query. */
         default boolean isConnected(String serverId) {
             return true;
         }
 
+        /** Whether all attempts of a request that have not ended wait for their connections. A query. */
+        default boolean awaitsConnection(String requestId) {
+            return false;
+        }
+
         /** Sends a health check to a server. */
         void probe(String serverId);
 
--- a/src/main/java/loadbalancer/policy/RequestState.java
+++ b/src/main/java/loadbalancer/policy/RequestState.java
@@ -80,19 +80,24 @@
     }
 
     boolean wasSentTo(ServerState server) {
-        for (int i = 0; i < attempts.size(); i++) {
-            if (attempts.get(i).target == server) {
+        for (AttemptState attempt : attempts) {
+            if (attempt.target == server) {
                 return true;
             }
         }
         return false;
     }
 
+    /** Whether an attempt at that server has not ended. */
+    boolean isInFlightAt(ServerState server) {
+        return attempts.stream().anyMatch(attempt -> attempt.inFlight && attempt.target == server);
+    }
+
     /** The first attempt that may have run, or null. */
     AttemptState firstThatMayHaveRun() {
-        for (int i = 0; i < attempts.size(); i++) {
-            if (attempts.get(i).mayHaveRun) {
-                return attempts.get(i);
+        for (AttemptState attempt : attempts) {
+            if (attempt.mayHaveRun) {
+                return attempt;
             }
         }
         return null;
--- a/src/main/java/loadbalancer/proxy/Dispatcher.java
+++ b/src/main/java/loadbalancer/proxy/Dispatcher.java
@@ -313,6 +313,12 @@
         return transport.isConnected(server);
     }
 
+    @Override
+    public boolean awaitsConnection(String request) {
+        PendingRequest pending = requests.find(request);
+        return pending != null && pending.awaitsConnection();
+    }
+
     @Override
     public void reject(String request, long retryAfterMicros) {
         PendingRequest pending = requests.find(request);
--- a/src/main/java/loadbalancer/proxy/PendingRequest.java
+++ b/src/main/java/loadbalancer/proxy/PendingRequest.java
@@ -140,6 +140,11 @@
                 && attempts.stream().anyMatch(other -> other != attempt && !other.neverRan());
     }
 
+    /** Whether the attempts that have not ended have not been sent either. */
+    boolean awaitsConnection() {
+        return attempts.stream().noneMatch(attempt -> attempt.isSent() && !attempt.hasEnded());
+    }
+
     /** Whether a server may have run an attempt. */
     boolean mayHaveRun() {
         return !attempts.stream().allMatch(ProxyAttempt::neverRan);
--- a/src/test/java/loadbalancer/deployed/LateRepeatsTest.java
+++ b/src/test/java/loadbalancer/deployed/LateRepeatsTest.java
@@ -27,6 +27,7 @@
     private static final int WORK_MILLIS = 30;
     private static final int WARM_UP_REQUESTS = 30;
     private static final int CLIENTS = 3;
+    private static final int RESET_AFTER_MILLIS = 300;
     private static final int ROUNDS = 3;
     private static final int TOLERANCE_MILLIS = 50; // of all limits of time
     private static final int ACCEPT_AFTER_MILLIS = 900; // before the system's second try, which comes after a second
@@ -231,7 +232,7 @@
                 return;
             }
             exchange.receive();
-            TimeUnit.MILLISECONDS.sleep(300);
+            TimeUnit.MILLISECONDS.sleep(RESET_AFTER_MILLIS);
             throw new IOException("closes without a response");
         });
         Round round = sendBesideLateUpstream(0, 2);
@@ -244,6 +245,33 @@
         assertNoneRanTwice(round);
     }
 
+    /**
+     * The failure guarded against: an attempt was reset while another one waited for a late connection, and no further
+     * one was tried although the group still dropped repeats and an upstream of it was there.
+     */
+    @Test
+    void aRequestWhoseAttemptIsResetIsRetriedBesideTheOneThatWaits() throws Exception {
+        startWithPromptUpstream(1_000, exchange -> {
+            exchange.receive();
+            boolean first = exchange.upstream().runs(exchange.id()) == 1;
+            TimeUnit.MILLISECONDS.sleep(WORK_MILLIS);
+            if (exchange.id().startsWith("long") && first) {
+                TimeUnit.MILLISECONDS.sleep(RESET_AFTER_MILLIS);
+                throw new IOException("closes without a response");
+            }
+            exchange.write(OK);
+        });
+        Round round = sendBesideLateUpstream(0, 2);
+        finish(round);
+        long firstAcceptNanos = round.late().acceptTimes().get(0);
+        for (String id : round.ids()) {
+            assertEquals("200", answers.get(id), () -> linesOf(round));
+            assertEquals(2, prompt.runs(id), () -> "the first attempt was not reset: " + linesOf(round));
+            assertTrue(answeredAtNanos.get(id) < firstAcceptNanos, () -> id + " waited: " + balancer.linesOf(id));
+        }
+        assertNoneRanTwice(round);
+    }
+
     /**
      * A process that is told to stop while attempts wait for late connections serves their requests, and does not wait
      * for the connections.
--- a/src/test/java/loadbalancer/policy/PolicyTestHarness.java
+++ b/src/test/java/loadbalancer/policy/PolicyTestHarness.java
@@ -1,9 +1,11 @@
 package loadbalancer.policy;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import loadbalancer.policy.Policy.Effect;
 import loadbalancer.policy.Policy.ListKind;
 import loadbalancer.policy.Policy.Outcome;
@@ -57,6 +59,7 @@
     long wakeAtMicros = Long.MAX_VALUE;
     int watchCalls;
     int duplicateFinalResponses;
+    final Set<String> awaitingConnection = new HashSet<>(); // requests whose attempts in flight have not been sent
     ConnectionModel connections = ConnectionModel.ALWAYS_CONNECTED;
     double reportedInFlight = Double.NaN; // carried by outcomes; NaN: no report
 
@@ -226,6 +229,11 @@
         return connections.isConnected(server);
     }
 
+    @Override
+    public boolean awaitsConnection(String request) {
+        return awaitingConnection.contains(request);
+    }
+
     @Override
     public void reject(String request, long retryAfterMicros) {
         actionLog.add(nowMicros + " reject " + request + " " + retryAfterMicros);
