Soak: connections that come up behind the window, and a ledger that judges windows

A play without an attempt that waited for a late connection fails. Plays without the option are as before.

The ledger judges sends: SENT_AFTER_WINDOW where a keyed request reaches a server later than the window, 50 ms and the lag of the reading loop behind the first arrival that may have run.

The stand-ins dropped repeats by when a server got to them. What counts now is when the repeat arrived; a later arrival is found by the ledger as well.

--- a/src/test/java/loadbalancer/testbed/FaultSoakTest.java
+++ b/src/test/java/loadbalancer/testbed/FaultSoakTest.java
@@ -21,4 +21,15 @@
             assertTrue(outcome.isClean(), () -> outcome.summary() + " | " + outcome.violations());
         }
     }
+
+    /** A keyed request whose attempt is not answered runs again over a connection that comes up behind the window. */
+    @ParameterizedTest
+    @Timeout(300)
+    @ValueSource(longs = {21, 23})
+    void lateConnectionsCauseNoViolation(long seed) throws IOException, InterruptedException {
+        try (FaultSoak soak = new FaultSoak(DemoTest.CLASS_PATH, seed, 4, 8, true)) {
+            FaultSoak.Outcome outcome = soak.play();
+            assertTrue(outcome.isClean(), () -> outcome.summary() + " | " + outcome.violations());
+        }
+    }
 }
--- a/src/test/java/loadbalancer/testbed/LedgerTest.java
+++ b/src/test/java/loadbalancer/testbed/LedgerTest.java
@@ -50,6 +50,22 @@
         assertEquals(List.of(Breach.BOOKED_TWICE), breaches());
     }
 
+    @Test
+    void aKeyedRequestThatIsSentBehindItsWindowIsFound() {
+        for (String request : List.of("within", "behind", "declined", "again")) {
+            ledger.recordSent(request, Effect.KEYED, 0, 1);
+            ledger.recordArrival(request, "a", 500, 50, 2);
+        }
+        ledger.recordArrival("within", "b", 500, 50, 552);
+        ledger.recordArrival("behind", "b", 500, 50, 553);
+        ledger.recordDeclined("declined", "a", 2);
+        ledger.recordArrival("declined", "b", 500, 50, 2_000);
+        ledger.recordSentAgain("again", "its balancer was killed", 1, 600);
+        ledger.recordArrival("again", "b", 500, 50, 700);
+        assertEquals(List.of(Breach.SENT_AFTER_WINDOW), breaches());
+        assertEquals("behind", ledger.findings().get(0).request());
+    }
+
     @Test
     void anExecutionBeforeOrAfterARefusalIsFound() {
         ledger.recordSent("o1", Effect.UNSAFE, 1);
--- a/src/test/java/loadbalancer/testbed/ServerModelTest.java
+++ b/src/test/java/loadbalancer/testbed/ServerModelTest.java
@@ -89,8 +89,8 @@
     @Test
     void aKeyIsRememberedWithinItsTimeToLiveOnly() {
         IdempotencyKeys keys = new IdempotencyKeys();
-        assertTrue(keys.firstUse("k", 1_000, 0));
-        assertFalse(keys.firstUse("k", 1_000, 999));
-        assertTrue(keys.firstUse("k", 1_000, 1_000));
+        assertTrue(keys.firstUse("k", 1_000, 0, 0));
+        assertFalse(keys.firstUse("k", 1_000, 999, 999));
+        assertTrue(keys.firstUse("k", 1_000, 1_000, 1_000));
     }
 }
--- a/src/testbed/java/loadbalancer/cli/SoakCommand.java
+++ b/src/testbed/java/loadbalancer/cli/SoakCommand.java
@@ -51,12 +51,17 @@
             description = "how many seeds in a row (default ${DEFAULT-VALUE})")
     private int seeds;
 
+    @Option(
+            names = "--late-connections",
+            description = "connections to servers come up a second late, later than servers remember keys")
+    private boolean lateConnections;
+
     @Override
     public Integer call() throws IOException, InterruptedException {
         int code = 0;
         for (long at = seed; at < seed + seeds; at++) {
             String classPath = System.getProperty("java.class.path");
-            try (FaultSoak soak = new FaultSoak(classPath, at, processes, seconds)) {
+            try (FaultSoak soak = new FaultSoak(classPath, at, processes, seconds, lateConnections)) {
                 Thread hook = new Thread(soak::close);
                 Runtime.getRuntime().addShutdownHook(hook);
                 FaultSoak.Outcome outcome = soak.play();
@@ -67,8 +72,8 @@
                 if (!outcome.isClean()) {
                     code = 1;
                     System.out.printf(
-                            "  again: ./loadbalancer soak --processes %d --seconds %d --seed %d --seeds 1%n",
-                            processes, seconds, at);
+                            "  again: ./loadbalancer soak --processes %d --seconds %d --seed %d --seeds 1%s%n",
+                            processes, seconds, at, lateConnections ? " --late-connections" : "");
                 }
             }
         }
--- a/src/testbed/java/loadbalancer/testbed/FaultSoak.java
+++ b/src/testbed/java/loadbalancer/testbed/FaultSoak.java
@@ -28,6 +28,7 @@
      *
      * @param crowded whether idle clients, bursts of connections and pipelined requests took the processes' descriptors
      *     and memory
+     * @param lateAttempts attempts that waited for a late connection, whether or not they were sent; 0 without such faults
      * @param left requests whose clients closed before a response
      * @param violations of the rules, and faults of the run itself
      * @param notes what is allowed and still worth a look, as last-resort responses
@@ -41,6 +42,7 @@
             long failed,
             long left,
             long lostToKills,
+            long lateAttempts,
             List<String> violations,
             List<String> notes) {
         /** Whether something was served and nothing went wrong. */
@@ -53,7 +55,7 @@
             return String.format(
                     Locale.ROOT,
                     "seed %d, %d processes%s: %d served, %d refused, %d failed, %d"
-                            + " clients left, %d lost to kills, %d violations",
+                            + " clients left, %d lost to kills, %d late connections, %d violations",
                     seed,
                     processes,
                     crowded ? ", crowded" : "",
@@ -62,6 +64,7 @@
                     failed,
                     left,
                     lostToKills,
+                    lateAttempts,
                     violations.size());
         }
     }
@@ -70,6 +73,8 @@
     private static final int MAX_REQUESTS = 4_000; // of one client
     private static final int FAULT_THREADS = 32;
     private static final long SETTLE_MILLIS = 500;
+    private static final long CONNECT_MICROS = 1_500_000; // longer than the second try of a connection takes
+    private static final long LATE_MICROS = 900_000;
     /** The platform kills a process no sooner than this and the longest deadline after SIGTERM. */
     private static final long KILL_AFTER_MICROS = 700_000;
 
@@ -101,7 +106,17 @@
      * @param seconds how long the load lasts
      */
     public FaultSoak(String classPath, long seed, int processes, int seconds) throws InterruptedException {
-        plan = SoakPlan.of(seed, processes, TimeUnit.SECONDS.toMicros(seconds));
+        this(classPath, seed, processes, seconds, false);
+    }
+
+    /**
+     * Opens the servers.
+     *
+     * @param lateConnections whether connections to servers come up late as well
+     */
+    public FaultSoak(String classPath, long seed, int processes, int seconds, boolean lateConnections)
+            throws InterruptedException {
+        plan = SoakPlan.of(seed, processes, TimeUnit.SECONDS.toMicros(seconds), lateConnections);
         List<ArrivalSchedule.ScheduledRequest> requests = new ArrayList<>();
         List<Scenario.RequestClass> classes = plan.scenario().classes();
         for (int client = 0; client < processes * CLIENTS; client++) {
@@ -121,6 +136,10 @@
         if (plan.isCrowded() && !plan.isPipelining()) {
             testbed.limitDescriptors(SoakCrowd.MAX_DESCRIPTORS);
         }
+        if (lateConnections) {
+            testbed.limitConnectTime(CONNECT_MICROS);
+            testbed.logRequests();
+        }
     }
 
     /** Starts the processes, plays load and faults, and returns what came of it. */
@@ -173,6 +192,10 @@
         testbed.log().stream()
                 .filter(line -> BUGS.stream().anyMatch(line::contains))
                 .forEach(violations::add);
+        long lateAttempts = plan.hasLateConnections() ? lateAttempts() : 0;
+        if (plan.hasLateConnections() && lateAttempts == 0) {
+            violations.add("no attempt waited for a late connection");
+        }
         Ledger ledger = testbed.ledger;
         return new Outcome(
                 plan.seed(),
@@ -183,10 +206,20 @@
                 ledger.count(Ledger.RequestOutcome.FAILED),
                 ledger.count(Ledger.RequestOutcome.LEFT),
                 ledger.count(Ledger.RequestOutcome.LOST),
+                lateAttempts,
                 violations,
                 notes());
     }
 
+    // By the request log: how long an attempt waited until it was sent, or that it waited for too long.
+    private long lateAttempts() {
+        Pattern waited = Pattern.compile(" event=attempt_(?:sent|withdrawn) .* (?:send_deadline|([0-9]+))$");
+        return testbed.log().stream()
+                .map(waited::matcher)
+                .filter(line -> line.find() && (line.group(1) == null || Long.parseLong(line.group(1)) >= LATE_MICROS))
+                .count();
+    }
+
     private List<String> notes() {
         Pattern lastResort = Pattern.compile("event=response_failed request=(\\S+) last_resort");
         List<String> notes = new ArrayList<>();
--- a/src/testbed/java/loadbalancer/testbed/Http1StandInListener.java
+++ b/src/testbed/java/loadbalancer/testbed/Http1StandInListener.java
@@ -34,12 +34,15 @@
 final class Http1StandInListener {
     private static final int BACKLOG = 1024;
     private static final int MAX_BODY_BYTES = 1 << 17;
+    private static final long PORT_RELEASE_MILLIS = 10; // the selector holds the port of a closed listener for a pass
 
     private final EventLoop loop;
     private final Clock clock;
     private final StandInServer server;
     private final Set<Connection> connections = new HashSet<>();
     private Channel listener;
+    private FullListener fullListener; // null where connections are accepted
+    private boolean delaying;
     private InetSocketAddress address;
     private long acceptedConnections;
 
@@ -98,8 +101,38 @@
                         connection);
     }
 
+    /**
+     * Listens with a full queue of connections, which accepts none, or as before. Connections that are made meanwhile
+     * are established when the client's system tries again. A listener that is closed stays as it is.
+     */
+    void delayConnections(boolean on) {
+        if (on && isOpen()) {
+            closeListener();
+            delaying = true;
+            loop.schedule(this::openFullListener, PORT_RELEASE_MILLIS, TimeUnit.MILLISECONDS);
+        } else if (!on && delaying) {
+            closeFullListener();
+            bind();
+        }
+    }
+
+    private void openFullListener() {
+        if (delaying) {
+            fullListener = FullListener.open(address);
+        }
+    }
+
+    private void closeFullListener() {
+        delaying = false;
+        if (fullListener != null) {
+            fullListener.close();
+            fullListener = null;
+        }
+    }
+
     /** Stops listening; connections stay open. */
     void closeListener() {
+        closeFullListener();
         if (listener != null) {
             listener.close();
         }
--- a/src/testbed/java/loadbalancer/testbed/Ledger.java
+++ b/src/testbed/java/loadbalancer/testbed/Ledger.java
@@ -34,6 +34,8 @@
         ANSWERED_TWICE,
         SERVED_UNBOOKED,
         SENT_AFTER_DRAIN,
+        /** A keyed request reached a server when the group had forgotten the key of an attempt that may have run. */
+        SENT_AFTER_WINDOW,
         /** A request reached a server long after its client had closed its connection. */
         SENT_AFTER_CLOSE
     }
@@ -44,6 +46,8 @@
     /** A breach, the request that it concerns, and the history of that request. */
     record Finding(Breach breach, String request, List<String> history) {}
 
+    private record Arrival(String server, long at) {}
+
     private static final class Entry {
         final Policy.Effect effect;
         final List<String> history = new ArrayList<>(4);
@@ -54,6 +58,7 @@
         RequestOutcome lastOutcome = RequestOutcome.NONE;
         long responseBegunAt = Long.MAX_VALUE;
         long leftAt = Long.MAX_VALUE;
+        final List<Arrival> arrivals = new ArrayList<>(2); // that may have run, since its client last sent it
 
         Entry(Policy.Effect effect) {
             this.effect = effect;
@@ -88,6 +93,7 @@
     private void recordBalancer(String request, int place, long at) {
         note(request, "sent to balancer " + place, at);
         entries.get(request).balancer = place;
+        entries.get(request).arrivals.clear();
     }
 
     /** The balancer that a request was last sent to; {@link DrainNotifications#SHARED} where that is not said. */
@@ -149,10 +155,11 @@
     /**
      * A complete request has reached a server.
      *
+     * @param keyTtlMicros for how long the servers of a cell drop repeats, from the first attempt that may have run
      * @param slack µs by which {@code at} may be later than the request was sent: those of the rules, and the
      *     lag of the event loop that read it
      */
-    synchronized void recordArrival(String request, String server, long slack, long at) {
+    synchronized void recordArrival(String request, String server, long keyTtlMicros, long slack, long at) {
         Entry entry = entries.get(request);
         if (entry == null) {
             return;
@@ -161,6 +168,21 @@
         if (at - entry.leftAt > CLOSE_GRACE + slack) {
             addFinding(Breach.SENT_AFTER_CLOSE, request, entry);
         }
+        if (entry.effect == Policy.Effect.KEYED
+                && !entry.arrivals.isEmpty()
+                && at - entry.arrivals.get(0).at() > keyTtlMicros + slack) {
+            addFinding(Breach.SENT_AFTER_WINDOW, request, entry);
+        }
+        entry.arrivals.add(new Arrival(server, at));
+    }
+
+    /** A server has declined a request that has reached it: this attempt never runs. */
+    synchronized void recordDeclined(String request, String server, long at) {
+        note(request, "turned away by " + server, at);
+        Entry entry = entries.get(request);
+        if (entry != null) {
+            entry.arrivals.removeIf(arrival -> arrival.server().equals(server) && arrival.at() == at);
+        }
     }
 
     /** A server begins to write the response to a request. */
--- a/src/testbed/java/loadbalancer/testbed/Scenario.java
+++ b/src/testbed/java/loadbalancer/testbed/Scenario.java
@@ -83,6 +83,8 @@
         REFUSE,
         /** That share of its requests is executed, and then the connection is reset in place of a response. */
         RESET,
+        /** Its queue of connections is full: those that are made come up a second later, by their second try (Linux). */
+        LATE_CONNECTIONS,
         /** Discovery is silent: watches stay open, calls hang. */
         DISCOVERY_SILENT,
         /** Discovery is down: connections are closed at once. */
--- a/src/testbed/java/loadbalancer/testbed/SoakPlan.java
+++ b/src/testbed/java/loadbalancer/testbed/SoakPlan.java
@@ -11,9 +11,17 @@
  * discovery, and the faults of each process, which overlap in time. Does no I/O. Times in µs from the beginning of
  * the load.
  *
+ * @param hasLateConnections whether connections to servers come up late, and requests with an idempotency key wait for
+ *     longer than servers remember it; the other draws are the same
  * @param faults of processes, in order of time
  */
-record SoakPlan(long seed, int processes, long durationMicros, Scenario scenario, List<ProcessFault> faults) {
+record SoakPlan(
+        long seed,
+        int processes,
+        long durationMicros,
+        boolean hasLateConnections,
+        Scenario scenario,
+        List<ProcessFault> faults) {
     /** The faults of a process. */
     enum Kind {
         /** It is paused for {@code durationMicros} (SIGSTOP, SIGCONT). */
@@ -72,6 +80,12 @@
     private static final int HOSTILE_EVERY = 2; // seeds
     private static final int SHORT_DEADLINES_EVERY = 4; // seeds
     private static final long DEADLINE_MICROS = 2_000_000;
+    private static final long KEY_TTL_MICROS = 500_000;
+    private static final long LONG_OBJECTIVE_MICROS = 1_500_000;
+    private static final long MEAN_LATE_INTERVAL_MICROS = 100_000; // of all servers
+    private static final double RESET_SHARE = 0.5;
+    private static final long MIN_LATE_MICROS = 100_000;
+    private static final long LATE_SPREAD_MICROS = 800_000; // connections come up before a third try
     private static final long SHORT_DEADLINE_MICROS = 500_000;
     private static final double LATE_SHARE = 0.4;
     private static final int SLOW_EVERY = 11; // requests of a client
@@ -90,8 +104,14 @@
             Scenario.ServerFaultKind.DISCOVERY_DOWN);
 
     /** The plan of that seed. */
-    static SoakPlan of(long seed, int processes, long durationMicros) {
+    static SoakPlan of(long seed, int processes, long durationMicros, boolean lateConnections) {
         SplittableRandom random = new SplittableRandom(seed);
+        long deadlineMicros = seed % SHORT_DEADLINES_EVERY == 1 ? SHORT_DEADLINE_MICROS : DEADLINE_MICROS;
+        List<Scenario.ServerFault> serverFaults = serverFaults(random.split(), durationMicros, seed % LONG_EVERY == 0);
+        List<ProcessFault> processFaults = processFaults(random.split(), processes, durationMicros);
+        if (lateConnections) {
+            serverFaults.addAll(lateConnections(random.split(), durationMicros));
+        }
         Scenario scenario = new Scenario(
                 "soak",
                 seed,
@@ -100,17 +120,48 @@
                 0,
                 new Scenario.SlowStart(1, 1, 1_000, 1_000_000, 1_000_000),
                 List.of(new Scenario.ServerGroup("server", SERVERS, 16, 1, 1_000, "a", "m", 4)),
-                classes(seed % SHORT_DEADLINES_EVERY == 1 ? SHORT_DEADLINE_MICROS : DEADLINE_MICROS),
-                serverFaults(random.split(), durationMicros, seed % LONG_EVERY == 0));
-        return new SoakPlan(
-                seed, processes, durationMicros, scenario, processFaults(random.split(), processes, durationMicros));
+                lateConnections ? classesWithLongObjective() : classes(deadlineMicros),
+                serverFaults);
+        return new SoakPlan(seed, processes, durationMicros, lateConnections, scenario, processFaults);
     }
 
     private static List<Scenario.RequestClass> classes(long deadlineMicros) {
         return List.of(
                 kind("read", Policy.Effect.SAFE, deadlineMicros, 0),
                 kind("book", Policy.Effect.UNSAFE, deadlineMicros, 0),
-                kind("pay", Policy.Effect.KEYED, deadlineMicros, 500_000));
+                kind("pay", Policy.Effect.KEYED, deadlineMicros, KEY_TTL_MICROS));
+    }
+
+    // Attempts are given up at the objective: with a shorter one none would wait for a late connection.
+    private static List<Scenario.RequestClass> classesWithLongObjective() {
+        return classes(DEADLINE_MICROS).stream()
+                .map(usual -> new Scenario.RequestClass(
+                        usual.name(),
+                        usual.effect(),
+                        1,
+                        WORK_MICROS,
+                        LONG_OBJECTIVE_MICROS,
+                        DEADLINE_MICROS,
+                        1,
+                        LATE_SHARE,
+                        usual.keyTtlMicros()))
+                .toList();
+    }
+
+    private static List<Scenario.ServerFault> lateConnections(SplittableRandom random, long durationMicros) {
+        List<Scenario.ServerFault> faults = new ArrayList<>();
+        for (long at = drawInterval(random, MEAN_LATE_INTERVAL_MICROS);
+                at < durationMicros;
+                at += drawInterval(random, MEAN_LATE_INTERVAL_MICROS)) {
+            long durationOfFaultMicros = MIN_LATE_MICROS + random.nextLong(LATE_SPREAD_MICROS);
+            String server = "server-" + (1 + random.nextInt(SERVERS));
+            faults.add(new Scenario.ServerFault(
+                    at, server, Scenario.ServerFaultKind.LATE_CONNECTIONS, durationOfFaultMicros, 1));
+            // Attempts that run elsewhere meanwhile fail, so that their requests are open when the connection comes up.
+            faults.add(new Scenario.ServerFault(
+                    at, "server-*", Scenario.ServerFaultKind.RESET, durationOfFaultMicros, RESET_SHARE));
+        }
+        return faults;
     }
 
     // A late response earns little, so that requests that are not safe are given up at their objective.
--- a/src/testbed/java/loadbalancer/testbed/StandInFleet.java
+++ b/src/testbed/java/loadbalancer/testbed/StandInFleet.java
@@ -129,6 +129,7 @@
             case FAST_ERRORS -> server.faults().setFastErrorShare(on ? fault.amount() : 0);
             case RESET -> server.faults().setResetShare(on ? fault.amount() : 0);
             case REFUSE -> server.faults().setRefusing(on);
+            case LATE_CONNECTIONS -> server.delayConnections(on);
             case KILL -> {
                 if (on) {
                     server.kill();
--- a/src/testbed/java/loadbalancer/testbed/StandInServer.java
+++ b/src/testbed/java/loadbalancer/testbed/StandInServer.java
@@ -43,7 +43,7 @@
     record Cell(int cellIndex, IdempotencyKeys keys) {}
 
     /** What a job of the model needs for its response. */
-    private record JobContext(ServerExchange exchange, String idempotencyKey) {}
+    private record JobContext(ServerExchange exchange, String idempotencyKey, long arrivedAt) {}
 
     private final String name;
     private final Scenario.ServerGroup group;
@@ -147,6 +147,11 @@
         return stalled;
     }
 
+    /** Fills its queue of connections, or empties it; a server that is down stays as it is. */
+    void delayConnections(boolean on) {
+        http1.delayConnections(on);
+    }
+
     /** Makes it work at this factor of its speed. */
     void slow(double factor) {
         model.slow(factor, clock.now(), this);
@@ -248,18 +253,20 @@
             return;
         }
         long now = clock.now();
-        recordArrival(requestId, firstByteAt, now);
+        recordArrival(requestId, profile.keyTtlMicros(), firstByteAt, now);
         if (faults.drawFastError()) {
             ledger.note(requestId, "fast error on " + name, now);
             exchange.respond(500, "error", ServerExchange.Execution.UNSPECIFIED);
             return;
         }
-        submit(new ServerModel.Job(requestId, profile.workMicros(), new JobContext(exchange, idempotencyKey)), now);
+        submit(
+                new ServerModel.Job(requestId, profile.workMicros(), new JobContext(exchange, idempotencyKey, now)),
+                now);
     }
 
-    private void recordArrival(String requestId, long firstByteAt, long now) {
+    private void recordArrival(String requestId, long keyTtlMicros, long firstByteAt, long now) {
         long lagMicros = lag.maxMicros(now);
-        ledger.recordArrival(requestId, name, Demo.RULE_SLACK_MICROS + lagMicros, now);
+        ledger.recordArrival(requestId, name, keyTtlMicros, Demo.RULE_SLACK_MICROS + lagMicros, now);
         long sendsEndAt = drainNotifications.sendsEndAt(ledger.balancer(requestId));
         if (firstByteAt - lagMicros > sendsEndAt) {
             ledger.recordSendAfterDrain(requestId, name, firstByteAt - lagMicros - sendsEndAt, now);
@@ -272,7 +279,7 @@
         if (faults.isRefusing() || !model.arrive(job, now, this)) {
             declined++;
             jobs.remove(exchange);
-            ledger.note(job.requestId, "turned away by " + name, now);
+            ledger.recordDeclined(job.requestId, name, now);
             exchange.respond(503, "declined", ServerExchange.Execution.DECLINED);
         }
         if (model.isOverloadedWhileWarmingUp(now)) {
@@ -302,8 +309,9 @@
     @Override
     public void started(ServerModel.Job job, long at) {
         RequestProfile profile = profiles.apply(job.requestId);
+        JobContext context = (JobContext) job.context;
         boolean executed = profile.effect() != Policy.Effect.KEYED
-                || cell.keys().firstUse(((JobContext) job.context).idempotencyKey(), profile.keyTtlMicros(), at);
+                || cell.keys().firstUse(context.idempotencyKey(), profile.keyTtlMicros(), context.arrivedAt(), at);
         ledger.recordExecution(job.requestId, name, executed, at);
     }
 
--- a/src/testbed/java/loadbalancer/testbed/Testbed.java
+++ b/src/testbed/java/loadbalancer/testbed/Testbed.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import loadbalancer.proxy.Clock;
+import loadbalancer.proxy.RequestLog;
 import loadbalancer.testbed.fleet.BalancerMember;
 import loadbalancer.testbed.fleet.ClientSocket;
 
@@ -41,6 +42,8 @@
 
     private volatile boolean attributed;
     private volatile int maxDescriptors; // 0: as many as the machine allows
+    private volatile long connectMicros; // 0: the program's default
+    private volatile Map<String, String> environment = Map.of();
 
     /**
      * Opens the servers and the discovery; no process yet.
@@ -69,7 +72,19 @@
     /** The configuration file of the process at that place among so many. */
     String configuration(int place, int processes) throws IOException {
         String file = BalancerToml.of(scenario, discoveryOf(place), "n" + place, place, processes);
-        return maxDescriptors == 0 ? file : file + "[limits]\ndescriptors = " + maxDescriptors + "\n";
+        String descriptors = maxDescriptors == 0 ? "" : "descriptors = " + maxDescriptors + "\n";
+        String connect = connectMicros == 0 ? "" : "connect = \"" + connectMicros + "us\"\n";
+        return file + (descriptors + connect).replaceFirst("^(?=.)", "[limits]\n");
+    }
+
+    /** A connection to a server may take so long. Before any process is started. */
+    void limitConnectTime(long micros) {
+        connectMicros = micros;
+    }
+
+    /** Processes write their request log. Before any process is started. */
+    void logRequests() {
+        environment = Map.of(RequestLog.VARIABLE, "on");
     }
 
     /** Each process may hold at most so many descriptors, and is told so. Before any process is started. */
@@ -110,14 +125,14 @@
     /** Starts so many processes, each with its own configuration; they may not listen yet. */
     void start(int processes) throws IOException {
         for (int place = 0; place < processes; place++) {
-            members.add(BalancerMember.start(classPath, configuration(place, processes)));
+            members.add(BalancerMember.start(classPath, configuration(place, processes), environment));
         }
     }
 
     /** Starts another process in the place of one that has ended. */
     BalancerMember restart(int place) throws IOException {
         former.add(members.get(place));
-        BalancerMember next = BalancerMember.start(classPath, configuration(place, members.size()));
+        BalancerMember next = BalancerMember.start(classPath, configuration(place, members.size()), environment);
         members.set(place, next);
         return next;
     }
--- a/src/testbed/java/loadbalancer/testbed/fleet/BalancerMember.java
+++ b/src/testbed/java/loadbalancer/testbed/fleet/BalancerMember.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
@@ -46,6 +47,12 @@
      * @param toml its configuration; see {@link #rewrite}
      */
     public static BalancerMember start(String classPath, String toml) throws IOException {
+        return start(classPath, toml, Map.of());
+    }
+
+    /** The same, with further variables in its environment. */
+    public static BalancerMember start(String classPath, String toml, Map<String, String> environment)
+            throws IOException {
         Path file = Files.createTempFile("member", ".toml");
         Files.writeString(file, toml);
         List<String> command = new ArrayList<>();
@@ -64,8 +71,9 @@
                 "serve",
                 "--config",
                 file.toString()));
-        return new BalancerMember(
-                new ProcessBuilder(command).redirectErrorStream(true).start(), file);
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+        builder.environment().putAll(environment);
+        return new BalancerMember(builder.start(), file);
     }
 
     private void read() {
