--- a/src/test/java/loadbalancer/deployed/LateRepeatsTest.java
+++ b/src/test/java/loadbalancer/deployed/LateRepeatsTest.java
@@ -105,7 +105,7 @@
         return round;
     }
 
-    /** Waits for the responses and for the late connections, each of which was asked for before the upstream accepted. */
+    /** Waits for the responses and for the late connections. */
     private void finish(Round round) throws InterruptedException {
         for (Thread client : round.clients()) {
             client.join();
--- a/src/test/java/loadbalancer/testbed/FaultSoakTest.java
+++ b/src/test/java/loadbalancer/testbed/FaultSoakTest.java
@@ -17,7 +17,7 @@
     @ValueSource(longs = {1, 2, 3, 4})
     void overlappingFaultsCauseNoViolation(long seed) throws IOException, InterruptedException {
         try (FaultSoak soak = new FaultSoak(DemoTest.CLASS_PATH, seed, 4, 8)) {
-            FaultSoak.Outcome outcome = soak.play();
+            SoakOutcome outcome = soak.play();
             assertTrue(outcome.isClean(), () -> outcome.summary() + " | " + outcome.violations());
         }
     }
@@ -28,7 +28,7 @@
     @ValueSource(longs = {21, 23})
     void lateConnectionsCauseNoViolation(long seed) throws IOException, InterruptedException {
         try (FaultSoak soak = new FaultSoak(DemoTest.CLASS_PATH, seed, 4, 8, true)) {
-            FaultSoak.Outcome outcome = soak.play();
+            SoakOutcome outcome = soak.play();
             assertTrue(outcome.isClean(), () -> outcome.summary() + " | " + outcome.violations());
         }
     }
--- a/src/testbed/java/loadbalancer/cli/SoakCommand.java
+++ b/src/testbed/java/loadbalancer/cli/SoakCommand.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.concurrent.Callable;
 import loadbalancer.testbed.FaultSoak;
+import loadbalancer.testbed.SoakOutcome;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -64,7 +65,7 @@
             try (FaultSoak soak = new FaultSoak(classPath, at, processes, seconds, lateConnections)) {
                 Thread hook = new Thread(soak::close);
                 Runtime.getRuntime().addShutdownHook(hook);
-                FaultSoak.Outcome outcome = soak.play();
+                SoakOutcome outcome = soak.play();
                 Runtime.getRuntime().removeShutdownHook(hook);
                 System.out.println(outcome.summary());
                 outcome.violations().stream().limit(EXAMPLES).forEach(v -> System.out.println("  " + v));
--- a/src/testbed/java/loadbalancer/testbed/FaultSoak.java
+++ b/src/testbed/java/loadbalancer/testbed/FaultSoak.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
@@ -23,52 +22,6 @@
  * invariants say what went wrong. {@link #play} is for one thread and may be called once.
  */
 public final class FaultSoak implements AutoCloseable {
-    /**
-     * What came of one seed. It has more than seven components as it is one line of the summary.
-     *
-     * @param crowded whether idle clients, bursts of connections and pipelined requests took the processes' descriptors
-     *     and memory
-     * @param lateAttempts attempts that waited for a late connection, whether or not they were sent; 0 without such faults
-     * @param left requests whose clients closed before a response
-     * @param violations of the rules, and faults of the run itself
-     * @param notes what is allowed and still worth a look, as last-resort responses
-     */
-    public record Outcome(
-            long seed,
-            int processes,
-            boolean crowded,
-            long served,
-            long refused,
-            long failed,
-            long left,
-            long lostToKills,
-            long lateAttempts,
-            List<String> violations,
-            List<String> notes) {
-        /** Whether something was served and nothing went wrong. */
-        public boolean isClean() {
-            return served > 0 && violations.isEmpty();
-        }
-
-        /** One line. */
-        public String summary() {
-            return String.format(
-                    Locale.ROOT,
-                    "seed %d, %d processes%s: %d served, %d refused, %d failed, %d"
-                            + " clients left, %d lost to kills, %d late connections, %d violations",
-                    seed,
-                    processes,
-                    crowded ? ", crowded" : "",
-                    served,
-                    refused,
-                    failed,
-                    left,
-                    lostToKills,
-                    lateAttempts,
-                    violations.size());
-        }
-    }
-
     private static final int CLIENTS = 4; // of each process
     private static final int MAX_REQUESTS = 4_000; // of one client
     private static final int FAULT_THREADS = 32;
@@ -143,7 +96,7 @@
     }
 
     /** Starts the processes, plays load and faults, and returns what came of it. */
-    public Outcome play() throws IOException, InterruptedException {
+    public SoakOutcome play() throws IOException, InterruptedException {
         testbed.start(plan.processes());
         testbed.awaitReady();
         for (BalancerMember member : testbed.members()) {
@@ -183,7 +136,7 @@
         return outcome();
     }
 
-    private Outcome outcome() {
+    private SoakOutcome outcome() {
         List<String> violations = new ArrayList<>(failures);
         testbed.ledger
                 .findings()
@@ -197,7 +150,7 @@
             violations.add("no attempt waited for a late connection");
         }
         Ledger ledger = testbed.ledger;
-        return new Outcome(
+        return new SoakOutcome(
                 plan.seed(),
                 plan.processes(),
                 crowd != null,
--- a/src/testbed/java/loadbalancer/testbed/Scenario.java
+++ b/src/testbed/java/loadbalancer/testbed/Scenario.java
@@ -83,7 +83,7 @@
         REFUSE,
         /** That share of its requests is executed, and then the connection is reset in place of a response. */
         RESET,
-        /** Its queue of connections is full: those that are made come up a second later, by their second try (Linux). */
+        /** Its queue of connections is full: they come up a second later, by the system's second try (Linux). */
         LATE_CONNECTIONS,
         /** Discovery is silent: watches stay open, calls hang. */
         DISCOVERY_SILENT,
