Soak: limit the time that filling a queue of connections may take

Cause, by reading: FullListener made its connections on the testbed's loop with no limit; where connections of the balancers had filled the queue first, the loop, and discovery with it, stood still for the tries of the system, up to two minutes.

The connect has 20 ms, and a queue that others have filled counts as full. A fault of the testbed, not of the program.

--- a/src/testbed/java/loadbalancer/testbed/FullListener.java
+++ b/src/testbed/java/loadbalancer/testbed/FullListener.java
@@ -5,12 +5,14 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 
 /** A listener whose queue of connections is full: it drops the packets that ask for further ones (Linux). */
 final class FullListener implements AutoCloseable {
     private static final int BACKLOG = 1;
+    private static final int FULL_AFTER_MILLIS = 20; // a connection over loopback takes far less
     private static final int FILLERS = BACKLOG + 1; // Linux queues one more
 
     private final ServerSocket server;
@@ -27,7 +29,7 @@
             listener.server.setReuseAddress(true);
             listener.server.bind(address, BACKLOG);
             for (int i = 0; i < FILLERS; i++) {
-                listener.fillers.add(new Socket(address.getAddress(), address.getPort()));
+                listener.fill(address);
             }
             return listener;
         } catch (IOException e) {
@@ -35,6 +37,17 @@
         }
     }
 
+    // Others may have filled the queue already: without a limit the connect would wait for seconds, and its thread too.
+    private void fill(InetSocketAddress address) throws IOException {
+        Socket filler = new Socket();
+        fillers.add(filler);
+        try {
+            filler.connect(address, FULL_AFTER_MILLIS);
+        } catch (SocketTimeoutException e) {
+            filler.close(); // the queue is full
+        }
+    }
+
     @Override
     public void close() {
         try {
