--- a/src/test/java/loadbalancer/testbed/ScenarioReaderTest.java
+++ b/src/test/java/loadbalancer/testbed/ScenarioReaderTest.java
@@ -69,7 +69,8 @@
                         "f.toml:13: class[0].effect: not one of safe, keyed, unsafe: 'harmless'",
                         "f.toml:17: fault[0].boxes: no such box: 'b-1'; there are a-1, a-1",
                         "f.toml:19: fault[0].what: not one of stall, drain, kill, slow, errors, fast-errors, refuse, "
-                                + "reset, discovery-silent, discovery-down, watches-cut, discovery-lies: 'stal'"),
+                                + "reset, late-connections, discovery-silent, discovery-down, watches-cut, "
+                                + "discovery-lies: 'stal'"),
                 problems);
     }
 
